--- a/brooklatch/drill.py
+++ b/lemonway/adapter.py
@@ -1,13 +1,13 @@
-"""Hosts the policy for many simulated servers on the wire: ``python -m brooklatch.drill``."""
+"""Hosts the policy for many simulated servers on the wire: ``python -m lemonway.adapter``."""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
-from . import wire
+from . import simwire
+from .brain import Policy
 from .interface import Action, Event
-from .logic import Policy
 
 
 def _read(source: BinaryIO, size: int) -> bytes:
@@ -25,29 +25,29 @@
     """Answer every batch until the input ends between two frames."""
     policies: dict[int, Policy] = {}
     while True:
-        head = _read(source, wire.HEADER.size)
+        head = _read(source, simwire.HEADER.size)
         if not head:
             return
-        if len(head) < wire.HEADER.size:
-            raise wire.WireError("header cut short")
-        now, size, count, batch = wire.HEADER.unpack(head)
-        if size < wire.HEADER.size:
-            raise wire.WireError(f"frame of {size} bytes is shorter than its header")
-        body = _read(source, size - wire.HEADER.size)
-        if len(body) < size - wire.HEADER.size:
-            raise wire.WireError("frame cut short")
+        if len(head) < simwire.HEADER.size:
+            raise simwire.WireError("header cut short")
+        now, size, count, batch = simwire.HEADER.unpack(head)
+        if size < simwire.HEADER.size:
+            raise simwire.WireError(f"frame of {size} bytes is shorter than its header")
+        body = _read(source, size - simwire.HEADER.size)
+        if len(body) < size - simwire.HEADER.size:
+            raise simwire.WireError("frame cut short")
         events: dict[int, list[Event]] = {}
-        for inst, record in wire.decode(memoryview(body), count):
-            if isinstance(record, wire.Opened):
-                policies[inst] = Policy(wire.parse_settings(record.text), record.seed)
+        for inst, record in simwire.decode(memoryview(body), count):
+            if isinstance(record, simwire.Opened):
+                policies[inst] = Policy(simwire.parse_settings(record.text), record.seed)
                 events[inst] = []
-            elif isinstance(record, wire.Crashed):
+            elif isinstance(record, simwire.Crashed):
                 policies.pop(inst, None)
                 events.pop(inst, None)
             elif inst in policies:
                 events.setdefault(inst, []).append(record)
             else:
-                raise wire.WireError(f"event for instance {inst}, which is not open")
+                raise simwire.WireError(f"event for instance {inst}, which is not open")
         groups: list[tuple[int, list[Action]]] = []
         fault: tuple[int, str] | None = None
         for inst, mine in events.items():
@@ -56,15 +56,15 @@
             except Exception as error:  # the wire wants the policy's failure as a record
                 fault = (inst, f"{type(error).__name__}: {error}")
                 break
-        sink.write(wire.encode(batch, groups, fault))
+        sink.write(simwire.encode(batch, groups, fault))
         sink.flush()
 
 
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except (wire.WireError, ValueError) as error:
-        print(f"brooklatch.drill: {error}", file=sys.stderr)
+    except (simwire.WireError, ValueError) as error:
+        print(f"lemonway.adapter: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/brooklatch/logic.py
+++ b/lemonway/brain.py
@@ -1,4 +1,4 @@
-"""Every decision of brooklatch. Its types, events and actions are in brooklatch/interface.py."""
+"""Every decision of lemonway. Its types, events and actions are in lemonway/interface.py."""
 
 from __future__ import annotations
 
--- a/tests/test_dsrt.py
+++ b/tests/test_dsrt.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 from world import World, settings
 
-from brooklatch import Policy, Settings
-from brooklatch.interface import (
+from lemonway import Policy, Settings
+from lemonway.brain import PROMISES
+from lemonway.interface import (
     Action,
     Admit,
     Advice,
@@ -20,7 +21,6 @@
     Refuse,
     Woken,
 )
-from brooklatch.logic import PROMISES
 
 LANE = Lane("read", aim=1000.0, deadline=4000.0)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from world import World, settings
 
-from brooklatch.interface import Advice, Halt
+from lemonway.interface import Advice, Halt
 
 worlds = st.builds(
     lambda seed, halt, calls, fresh, cores, advice, hang: World(
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from brooklatch import Policy, Settings
-from brooklatch.interface import (
+from lemonway import Policy, Settings
+from lemonway.interface import (
     Admit,
     Advertise,
     Advice,
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,9 +5,9 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from brooklatch import Policy
-from brooklatch import interface as api
-from brooklatch.interface import Effect, Halt, Lane, Outcome, Settings
+from lemonway import Policy
+from lemonway import interface as api
+from lemonway.interface import Effect, Halt, Lane, Outcome, Settings
 
 
 @dataclass
