--- /dev/null
+++ b/lemonway/net/ports.py
@@ -0,0 +1,126 @@
+"""Where protocol and routing meet: plain data, and each side as the other sees it. No wire, no decision."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from ..interface import Outcome, Settings
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"  # this try never ran
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Answer:
+    """The one final answer to a request."""
+
+    verdict: Verdict
+    feedback: float | None = None  # the free value, if one was set
+    later_ms: int = 0  # stay away so long; 0 = no advice
+    giveup: bool = False  # asks that no other node be tried
+    late: bool = False  # given because time ran out
+    body: bytes = b""
+
+
+class Front(Protocol):
+    """A connection that handed in requests."""
+
+    def answer(self, tag: int, answer: Answer) -> None: ...
+
+    def checked(self, tag: int, good: bool, feedback: float | None) -> None: ...
+
+    def drain(self) -> None: ...
+
+
+@dataclass(slots=True)
+class Incoming:
+    """A request as a front hands it in; ``came`` and ``patience`` are in microseconds."""
+
+    front: Front
+    tag: int
+    txn: str
+    lane: int
+    tenant: int
+    came: int
+    body: bytes
+    caller: int = 0
+    work_ms: float | None = None
+    ram_kb: float = 0.0
+    rank: float = 0.0
+    unique: str = ""
+    item: int = 0
+    patience: int = 0  # how long its caller waits, if it says; 0 = the class's deadline
+
+
+class WorkerPool(Protocol):
+    def spawn(self, txn: str, handler: str, body: bytes) -> None: ...
+
+    def suspend(self, txn: str) -> None: ...
+
+    def supply(self, txn: str, body: bytes) -> None: ...
+
+    def poll(self, token: str) -> None: ...
+
+    def verify(self, token: str) -> None: ...
+
+
+class Catalogue(Protocol):
+    def call(self, ident: int, txn: str, patience: int, body: bytes) -> None: ...
+
+    def give_up(self, ident: int) -> None: ...
+
+
+class Announcer(Protocol):
+    def announce(self, accepting: bool) -> None: ...
+
+
+class Desk(Protocol):
+    """The core as a front sees it."""
+
+    settings: Settings
+    fronts: dict[Front, None]
+    counters: Counter[str]
+    idle_ttl: int
+    draining: bool
+
+    def submit(self, inc: Incoming) -> int: ...
+
+    def gave_up(self, ident: int) -> None: ...
+
+    def check(self, front: Front, tag: int, deep: bool) -> None: ...
+
+
+class PoolEvents(Protocol):
+    """The core as the link to the pool sees it."""
+
+    counters: Counter[str]
+
+    def bound(self, fresh: bool, age: int) -> None: ...
+
+    def relinked(self) -> None: ...
+
+    def link_lost(self) -> None: ...
+
+    def finished(self, txn: str, outcome: Outcome, ms: float, body: bytes) -> None: ...
+
+    def blocked(self, txn: str, body: bytes) -> None: ...
+
+    def polled(self, gauges: tuple[float, ...]) -> None: ...
+
+    def verified(self, token: str, good: bool) -> None: ...
+
+    def unknown(self, command: str, txn: str) -> None: ...
+
+
+class CallEvents(Protocol):
+    """The core as the catalogue's client sees it."""
+
+    counters: Counter[str]
+
+    def call_ended(self, ident: int, outcome: Outcome, body: bytes) -> None: ...
--- /dev/null
+++ b/lemonway/net/program/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, wiring and signals."""
--- /dev/null
+++ b/lemonway/net/program/config.py
@@ -0,0 +1,97 @@
+"""What the program is told at its start. Whatever is wrong is named by its key, in one line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from ...interface import Settings
+from ...settings import flatten, read_settings
+
+
+class ConfigError(Exception):
+    """A value that makes no sense; the message names its key."""
+
+
+@dataclass(frozen=True)
+class Address:
+    host: str
+    port: int
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    pool: Address
+    announce: Address | None
+    catalogue: Address | None
+    seed: int
+    stop_ms: float
+    sockets: int
+    settings: Settings
+
+
+def parse_address(key: str, value: Any) -> Address:
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{key}: {value!r} is not HOST:PORT")
+    return Address(host, int(port))
+
+
+def _number(key: str, value: Any, least: float) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < float("inf"):
+        raise ConfigError(f"{key}: {value!r} is not a number of {least:g} or more")
+    return float(value)
+
+
+def read_config(raw: Any, environ: Mapping[str, str]) -> Config:
+    """The configuration from its JSON, the environment's name and address going first."""
+    if not isinstance(raw, dict):
+        raise ConfigError("EDGE_CONFIG: not a JSON object")
+    name = environ.get("EDGE_NAME") or raw.get("name")
+    if not isinstance(name, str) or not name or any(c.isspace() for c in name):
+        raise ConfigError(f"name: {name!r} is not a word")
+    if "pool" not in raw:
+        raise ConfigError("pool: missing")
+    seed = raw.get("seed", "0")
+    try:
+        number = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: {seed!r} is not hexadecimal") from None
+    limits = raw.get("limits", {})
+    if not isinstance(limits, dict):
+        raise ConfigError("limits: not an object")
+    if not isinstance(raw.get("settings"), dict):
+        raise ConfigError("settings: missing" if "settings" not in raw else "settings: not an object")
+    try:
+        settings = read_settings(flatten(raw["settings"]))
+    except ValueError as error:  # it names the path
+        raise ConfigError(str(error)) from None
+    return Config(
+        name=name,
+        listen=parse_address("listen", environ.get("EDGE_LISTEN") or raw.get("listen")),
+        pool=parse_address("pool", raw["pool"]),
+        announce=parse_address("announce", raw["announce"]) if raw.get("announce") else None,
+        catalogue=parse_address("catalog", raw["catalog"]) if raw.get("catalog") else None,
+        seed=number,
+        stop_ms=_number("stop_ms", raw.get("stop_ms", 5000), 0),
+        sockets=int(_number("limits.sockets", limits.get("sockets", 1024), 64)),
+        settings=settings,
+    )
+
+
+def load_config(environ: Mapping[str, str]) -> Config:
+    path = environ.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("EDGE_CONFIG: not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: not JSON: {error}") from None
+    return read_config(raw, environ)
--- /dev/null
+++ b/lemonway/net/program/node.py
@@ -0,0 +1,144 @@
+"""Puts the parts together and carries the signals."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import signal
+import sys
+from typing import Any
+
+from twisted.internet.protocol import ServerFactory
+
+from ..protocol.announce import AnnounceClient
+from ..protocol.catalogue import CatalogueClient
+from ..protocol.pool import PoolLink
+from ..protocol.resp import Names, RouterConnection
+from ..routing.core import Core
+from ..transport.clock import Clock, Turns
+from .config import Config
+
+log = logging.getLogger(__name__)
+
+SWEEP = 500_000  # between looks for idle connections
+SPARE_SOCKETS = 200  # descriptors left for the pool, the catalogue and the program's own files
+END_WAIT = 300_000  # between looks, once draining, whether all is answered
+
+
+class _Silent:
+    def announce(self, accepting: bool) -> None:
+        """No announce service is configured."""
+
+
+class RouterFactory(ServerFactory):
+    noisy = False
+
+    def __init__(self, turns: Turns, core: Core, most: int) -> None:
+        self.turns, self.core, self.most = turns, core, most
+        self.names = Names.of(core.settings)
+
+    def buildProtocol(self, addr: Any) -> RouterConnection | None:
+        self.turns.begin()
+        if len(self.core.fronts) >= self.most:  # closed at once: nothing was read on it, so nothing is lost
+            self.core.counters["connections_over"] += 1
+            return None
+        return RouterConnection(self.turns, self.core, self.names)
+
+
+class Node:
+    def __init__(self, config: Config, reactor: Any) -> None:
+        self.config, self.reactor = config, reactor
+        self.turns = Turns(reactor, Clock())
+        self.core = Core(config.settings, config.seed, self.turns)
+        self.pool = PoolLink(self.turns, self.core, config.pool.host, config.pool.port)
+        self.core.pool = self.pool
+        self.catalogue: CatalogueClient | None = None
+        if config.catalogue is not None:
+            self.catalogue = CatalogueClient(
+                self.turns, self.core, config.catalogue.host, config.catalogue.port)
+            self.core.catalogue = self.catalogue
+        self.announcer: AnnounceClient | None = None
+        self.core.announcer = _Silent()
+        if config.announce is not None:
+            self.announcer = AnnounceClient(reactor, config.name, config.announce.host, config.announce.port)
+            self.core.announcer = self.announcer
+        self.routers = RouterFactory(self.turns, self.core, config.sockets - SPARE_SOCKETS)
+        self.ports: list[Any] = []
+        self.grace_until = self.stop_by = 0
+        self.ended = False
+
+    def start(self) -> None:
+        if self.announcer is not None:
+            self.announcer.start()
+        self.ports.append(self.reactor.listenTCP(
+            self.config.listen.port, self.routers, backlog=512, interface=self.config.listen.host))
+        self.core.start()
+        self.pool.start()
+        self.turns.after(SWEEP, self.sweep)
+
+    def sweep(self) -> None:
+        """Close what has been idle for the time the brain keeps it."""
+        self.turns.after(SWEEP, self.sweep)
+        edge = self.turns.clock.now - self.core.idle_ttl
+        for front in list(self.core.fronts):
+            if isinstance(front, RouterConnection):
+                front.close_if_idle(edge)
+        if self.catalogue is not None:
+            self.catalogue.close_idle()
+
+    # leaving
+
+    def drain(self) -> None:
+        """The notice to leave: what has come and what comes within the grace is served, the rest turned away."""
+        self.turns.begin()
+        if self.core.draining:
+            return
+        now = self.turns.clock.now
+        self.grace_until = now + int(self.config.settings.drain_grace * 1000)
+        self.stop_by = now + int(self.config.stop_ms * 1000)
+        self.core.drain(self.config.stop_ms)
+        self.turns.at(min(self.grace_until, self.stop_by), self.close_ports)
+
+    def close_ports(self) -> None:
+        """Past the grace nothing may be run: a refused connection tells a router so at no cost."""
+        for port in self.ports:
+            port.stopListening()
+        self.ports = []
+        for front in list(self.core.fronts):
+            front.drain()
+        self.turns.after(END_WAIT, self.end_if_done)
+
+    def end_if_done(self) -> None:
+        """Ends once routers have closed what was drained, so that nothing written here can be lost."""
+        self.turns.after(END_WAIT, self.end_if_done)
+        if not self.ended and self.core.idle and not self.core.fronts:
+            self.ended = True
+            self.reactor.callLater(0, self.reactor.stop)
+
+    def print_counters(self) -> None:
+        shown = dict(sorted(self.core.counters.items()))
+        shown["open"] = sum(not r.answered for r in self.core.records.values())
+        shown["fronts"] = len(self.core.fronts)
+        print("counters " + " ".join(f"{name}={value}" for name, value in shown.items()), file=sys.stderr,
+              flush=True)
+
+
+def run(config: Config) -> int:
+    from twisted.internet import reactor  # installs the reactor: only when the program really runs
+
+    loop: Any = reactor
+    node = Node(config, loop)
+    loop.callWhenRunning(node.start)
+    for number, call in ((signal.SIGTERM, node.drain), (signal.SIGINT, node.drain),
+                         (signal.SIGUSR1, node.print_counters)):
+        signal.signal(number, lambda *_, call=call: loop.callFromThread(call))
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    # What is loaded by now stays: a rare, short collection of what requests leave in cycles is enough.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
+    log.info("%s listens on %s:%d, pid %d", config.name, config.listen.host, config.listen.port, os.getpid())
+    loop.run(installSignalHandlers=False)
+    node.print_counters()
+    return 0
--- /dev/null
+++ b/lemonway/net/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The wires: parsers that know no reactor, and thin connections that feed them."""
--- /dev/null
+++ b/lemonway/net/protocol/announce.py
@@ -0,0 +1,30 @@
+"""The announce service: one UDP datagram a report, no answer."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+
+def encode_report(name: str, accepting: bool) -> bytes:
+    return f"announce {name} {'true' if accepting else 'false'}".encode()
+
+
+class AnnounceClient(DatagramProtocol):
+    noisy = False
+    transport: Any
+
+    def __init__(self, reactor: Any, name: str, host: str, port: int) -> None:
+        self.reactor, self.name, self.address = reactor, name, (host, port)
+        self.refused = 0
+
+    def start(self) -> None:
+        self.reactor.listenUDP(0, self, interface="127.0.0.1" if self.address[0].startswith("127.") else "")
+
+    def announce(self, accepting: bool) -> None:
+        if self.transport is not None:
+            try:
+                self.transport.write(encode_report(self.name, accepting), self.address)
+            except OSError:  # the service is down: no entry lapses while it is
+                self.refused += 1
--- /dev/null
+++ b/lemonway/net/protocol/catalogue.py
@@ -0,0 +1,251 @@
+"""The catalogue's client: HTTP/1.1, one call at a time on a connection."""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.python.failure import Failure
+
+from ...interface import Outcome
+from ..ports import CallEvents
+from ..transport.clock import Turns
+from ..transport.connection import Connection
+
+REPLY_MOST = 64 * 1024
+HEADERS_MOST = 64
+INBOUND = 96 * 1024
+OUTBOUND = 96 * 1024
+CONNECTIONS_MOST = 96
+IDLE_MOST = 5_000_000  # the other side closes after 10 s: one near that is not used again
+PATIENCE_MORE = 50_000  # past the stated patience before the connection is closed on an unanswered call
+
+_STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])( |\Z)")
+_LENGTH = re.compile(rb"[0-9]{1,9}\Z")
+
+
+class ReplyError(Exception):
+    """What came is no HTTP reply."""
+
+
+class ReplyReader:
+    """Reads a reply's head line by line; ``length`` holds when ``line`` gave True."""
+
+    __slots__ = ("status", "length", "declined", "keep", "_seen", "_lines")
+
+    def __init__(self) -> None:
+        self.status, self.length, self.declined, self.keep = 0, 0, False, True
+        self._seen, self._lines = False, 0
+
+    def line(self, line: bytes) -> bool:
+        """Take a line; True at the end of the head."""
+        if not self.status:
+            if not (match := _STATUS.match(line)):
+                raise ReplyError(f"status {line[:40]!r}")
+            self.status, self.keep = int(match[2]), match[1] == b"1"
+            return False
+        if not line:
+            if 100 <= self.status < 200:  # an interim reply; the real one follows
+                self.status = 0
+                return False
+            if not self._seen and self.status not in (204, 304):
+                raise ReplyError("no Content-Length")
+            return True
+        self._lines += 1
+        name, colon, value = line.partition(b":")
+        if not colon or self._lines > HEADERS_MOST:
+            raise ReplyError(f"header {line[:40]!r}")
+        name, value = name.strip().lower(), value.strip()
+        if name == b"content-length":
+            if not _LENGTH.match(value) or int(value) > REPLY_MOST or (self._seen and int(value) != self.length):
+                raise ReplyError(f"Content-Length {value[:20]!r}")
+            self.length, self._seen = int(value), True
+        elif name == b"x-declined":
+            self.declined = value == b"1"
+        elif name == b"connection":
+            self.keep = value.lower() != b"close" and (self.keep or value.lower() == b"keep-alive")
+        elif name == b"transfer-encoding" and value.lower() != b"identity":
+            raise ReplyError("Transfer-Encoding is not read")
+        return False
+
+
+def outcome_of(status: int, declined: bool) -> Outcome:
+    """What a reply proves. Only one marked as declined proves that the call never ran."""
+    if declined:
+        return Outcome.TURNED_AWAY
+    if 200 <= status < 300:
+        return Outcome.OK
+    return Outcome.TIMED_OUT if status == 504 else Outcome.ERROR
+
+
+class Call:
+    __slots__ = ("ident", "txn", "until", "body", "over")
+
+    def __init__(self, ident: int, txn: str, until: int, body: bytes) -> None:
+        self.ident, self.txn, self.until, self.body, self.over = ident, txn, until, body, False
+
+
+class CatalogueConnection(Connection):
+    def __init__(self, turns: Turns, client: CatalogueClient) -> None:
+        super().__init__(turns, INBOUND, OUTBOUND)
+        self.client = client
+        self.call: Call | None = None
+        self.reader = ReplyReader()
+        self.used = turns.clock.now
+
+    def opened(self) -> None:
+        self.client.ready(self)
+
+    def start(self, call: Call, host: bytes, path: bytes) -> None:
+        self.call, self.reader = call, ReplyReader()
+        patience = max(1, (call.until - self.turns.clock.now) // 1000)
+        self.send(
+            b"POST %b HTTP/1.1\r\nHost: %b\r\nX-On-Behalf: %b\r\nX-Patience: %d\r\nContent-Length: %d\r\n\r\n%b"
+            % (path, host, call.txn.encode(), patience, len(call.body), call.body)
+        )
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.call is None:  # nothing was asked
+            self.abort()
+            return
+        try:
+            if not self.reader.line(line):
+                return
+        except ReplyError:
+            self.client.events.counters["bad_replies"] += 1
+            self.abort()
+            return
+        if self.reader.length:
+            self.expect(self.reader.length)
+        else:
+            self.replied(b"")
+
+    def blockReceived(self, block: bytes) -> None:
+        self.replied(block)
+
+    def replied(self, body: bytes) -> None:
+        call, self.call = self.call, None
+        self.used = self.turns.clock.now
+        if not self.reader.keep:
+            self.close()
+        if call is not None:
+            self.client.replied(self, call, outcome_of(self.reader.status, self.reader.declined), body)
+
+    def ended(self) -> None:
+        call, self.call = self.call, None
+        self.client.gone(self, call)
+
+
+class CatalogueClient(ClientFactory):
+    """The calls in hand and the connections they use. A refused connection proves that a call never ran; one that
+    breaks during a call proves nothing."""
+
+    noisy = False
+
+    def __init__(self, turns: Turns, events: CallEvents, host: str, port: int, path: str = "/fetch") -> None:
+        self.turns, self.events, self.address, self.port = turns, events, host, port
+        self.host, self.path = f"{host}:{port}".encode(), path.encode()
+        self.idle: list[CatalogueConnection] = []
+        self.calls: dict[int, Call] = {}
+        self.used: dict[int, CatalogueConnection] = {}  # a call on the wire: its connection
+        self.queue: deque[Call] = deque()
+        self.opening = self.count = 0
+
+    def call(self, ident: int, txn: str, patience: int, body: bytes) -> None:
+        call = Call(ident, txn, self.turns.clock.now + patience, body)
+        self.calls[ident] = call
+        self.turns.at(call.until + PATIENCE_MORE, lambda: self.expired(call))
+        self.queue.append(call)
+        self.place()
+
+    def place(self) -> None:
+        """Put waiting calls on idle connections, and open more while any wait."""
+        edge = self.turns.clock.now - IDLE_MOST
+        while self.queue:
+            if self.queue[0].over:
+                self.queue.popleft()
+            elif self.idle:
+                connection = self.idle.pop()
+                if connection.used < edge:
+                    connection.close()
+                elif not connection.closing and not connection.lost:
+                    call = self.queue.popleft()
+                    self.used[call.ident] = connection
+                    connection.start(call, self.host, self.path)
+            else:
+                break
+        while self.opening < len(self.queue) and self.count < CONNECTIONS_MOST:
+            self.opening += 1
+            self.count += 1
+            self.turns.reactor.connectTCP(self.address, self.port, self, timeout=None)
+
+    def buildProtocol(self, addr: Any) -> CatalogueConnection:
+        return CatalogueConnection(self.turns, self)
+
+    def ready(self, connection: CatalogueConnection) -> None:
+        self.opening -= 1
+        connection.used = self.turns.clock.now
+        self.idle.append(connection)
+        self.place()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """Refused: the call that waited longest never ran."""
+        self.turns.begin()
+        self.opening -= 1
+        self.count -= 1
+        while self.queue:
+            call = self.queue.popleft()
+            if not call.over:
+                self.end(call, Outcome.UNREACHABLE, b"")
+                break
+
+    def clientConnectionLost(self, connector: Any, reason: Failure = connectionDone) -> None:
+        """The connection itself says so, in ``gone``."""
+
+    def replied(self, connection: CatalogueConnection, call: Call, outcome: Outcome, body: bytes) -> None:
+        if not connection.closing:
+            self.idle.append(connection)
+        self.end(call, outcome, body)
+        self.place()
+
+    def gone(self, connection: CatalogueConnection, call: Call | None) -> None:
+        self.count -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if call is not None:
+            self.end(call, Outcome.CUT_OFF, b"")
+        self.place()
+
+    def end(self, call: Call, outcome: Outcome, body: bytes) -> None:
+        if not call.over:
+            call.over = True
+            self.calls.pop(call.ident, None)
+            self.used.pop(call.ident, None)
+            self.events.call_ended(call.ident, outcome, body)
+
+    def expired(self, call: Call) -> None:
+        if not call.over:
+            sent = call.ident in self.used
+            self.drop(call)
+            # A call that was never put on a connection never ran.
+            self.events.call_ended(call.ident, Outcome.TIMED_OUT if sent else Outcome.UNREACHABLE, b"")
+
+    def give_up(self, ident: int) -> None:
+        if call := self.calls.get(ident):
+            self.drop(call)
+
+    def drop(self, call: Call) -> None:
+        """Closing its connection gives a call up."""
+        call.over = True
+        self.calls.pop(call.ident, None)
+        if connection := self.used.pop(call.ident, None):
+            connection.call = None
+            connection.abort()
+
+    def close_idle(self) -> None:
+        edge = self.turns.clock.now - IDLE_MOST
+        for connection in [c for c in self.idle if c.used < edge]:
+            self.idle.remove(connection)
+            connection.close()
--- /dev/null
+++ b/lemonway/net/protocol/resp.py
@@ -0,0 +1,310 @@
+"""The routers' front: RESP arrays of bulk strings."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from math import isfinite
+
+from ...interface import Effect, Settings
+from ..ports import Answer, Desk, Incoming, Verdict
+from ..transport.clock import Clock, Turns
+from ..transport.connection import Connection
+
+BODY_MOST = 2048
+WORD_MOST = 1024  # any other bulk string
+SKIP_MOST = 64 * 1024  # an over-long string up to this is read past; more closes the connection
+ITEMS_MOST = 8
+OPEN_MOST = 32  # requests open on one connection; more are left unread
+TAG_MOST = 2**53
+INBOUND = 48 * 1024  # one read and the start of a frame
+OUTBOUND = 256 * 1024  # 32 results of 4 KiB and their fields, twice over
+DOOR_MOST = 2**43  # Unix milliseconds, some centuries on
+
+_TXN = re.compile(rb"[0-9a-f]{16}\Z")
+_UNIQUE = re.compile(rb"[0-9a-f]{32}\Z")
+_NUMBER = re.compile(rb"[0-9]{1,16}\Z")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?\Z")
+
+
+class RespError(Exception):
+    """What came is no frame; nothing after it can be read."""
+
+
+class FieldError(Exception):
+    """A whole frame whose fields make no sense."""
+
+
+class RespReader:
+    """Builds frames from lines and blocks. After each it says in ``wanted`` and ``skipped`` what it wants next."""
+
+    __slots__ = ("items", "left", "wanted", "skipped", "overlong")
+
+    def __init__(self) -> None:
+        self.items: list[bytes] = []
+        self.left = self.wanted = self.skipped = 0
+        self.overlong = False
+
+    def line(self, line: bytes) -> list[bytes] | None:
+        """Take a line; gives a whole frame, or None."""
+        kind, count = line[:1], line[1:]
+        self.wanted = self.skipped = 0
+        if not _NUMBER.match(count):
+            raise RespError(f"length {count[:20]!r}")
+        size = int(count)
+        if self.left == 0:
+            if kind != b"*" or not 1 <= size <= ITEMS_MOST:
+                raise RespError(f"no array: {line[:20]!r}")
+            self.items, self.left, self.overlong = [], size, False
+            return None
+        if kind != b"$":
+            raise RespError(f"no bulk string: {line[:20]!r}")
+        if size > SKIP_MOST:
+            raise RespError(f"bulk string of {size} bytes")
+        if size > (BODY_MOST if len(self.items) == 4 else WORD_MOST):
+            self.skipped, self.overlong = size + 2, True
+            return self._add(b"")
+        self.wanted = size + 2
+        return None
+
+    def block(self, block: bytes) -> list[bytes] | None:
+        if block[-2:] != b"\r\n":
+            raise RespError("bulk string not ended")
+        return self._add(block[:-2])
+
+    def _add(self, item: bytes) -> list[bytes] | None:
+        self.items.append(item)
+        self.left -= 1
+        return self.items if self.left == 0 else None
+
+
+@dataclass(frozen=True)
+class Names:
+    """The settings' names, looked up for each request."""
+
+    lanes: dict[bytes, int]
+    teams: dict[bytes, int]
+    keyed: frozenset[int]
+
+    @classmethod
+    def of(cls, settings: Settings) -> Names:
+        return cls(
+            {lane.name.encode(): n for n, lane in enumerate(settings.lanes)},
+            {team.name.encode(): n for n, team in enumerate(settings.tenants)},
+            frozenset(n for n, lane in enumerate(settings.lanes) if lane.effect is Effect.KEYED),
+        )
+
+
+def read_fields(raw: bytes) -> dict[bytes, bytes]:
+    fields: dict[bytes, bytes] = {}
+    for pair in raw.split(b",") if raw else ():
+        name, eq, value = pair.partition(b"=")
+        if not eq or not name or name in fields:
+            raise FieldError(f"field {pair[:40]!r}")
+        fields[name] = value
+    return fields
+
+
+def _decimal(fields: dict[bytes, bytes], name: bytes, default: float, below: float) -> float:
+    raw = fields.get(name)
+    if raw is None:
+        return default
+    value = float(raw) if _DECIMAL.match(raw) else -1.0
+    if not (0 <= value < below and isfinite(value)):
+        raise FieldError(f"{name.decode()} is {raw[:20]!r}")
+    return value
+
+
+def read_call(items: list[bytes], names: Names, clock: Clock, front: RouterConnection) -> Incoming:
+    """A CALL's fields as the core takes them; the Unix stamp ``door`` is put on the program's clock here."""
+    if not 4 <= len(items) <= 5:
+        raise FieldError(f"CALL of {len(items)} items")
+    lane = names.lanes.get(items[2])
+    if lane is None:
+        raise FieldError(f"class {items[2][:40]!r}")
+    fields = read_fields(items[3])
+    txn, door, caller = fields.get(b"txn", b""), fields.get(b"door", b""), fields.get(b"lb", b"0")
+    if not _TXN.match(txn):
+        raise FieldError(f"txn is {txn[:40]!r}")
+    if not _NUMBER.match(door) or int(door) > DOOR_MOST:
+        raise FieldError(f"door is {door[:40]!r}")
+    if not _NUMBER.match(caller) or int(caller) >= 2**32:
+        raise FieldError(f"lb is {caller[:40]!r}")
+    team = 0
+    if b"team" in fields:
+        team = names.teams.get(fields[b"team"], -1)
+        if team < 0:
+            raise FieldError(f"team is {fields[b'team'][:40]!r}")
+    unique = fields.get(b"unique", b"")
+    if lane in names.keyed and not _UNIQUE.match(unique):
+        raise FieldError(f"unique is {unique[:40]!r}")
+    item = fields.get(b"item", b"")
+    if item and not _TXN.match(item):
+        raise FieldError(f"item is {item[:40]!r}")
+    return Incoming(
+        front, int(items[1]), txn.decode(), lane, team, clock.from_unix_ms(int(door)),
+        items[4] if len(items) == 5 else b"", int(caller),
+        _decimal(fields, b"cpu", 0.0, 1e7) or None, _decimal(fields, b"ram", 0.0, 1e6),
+        _decimal(fields, b"standing", 0.0, 1.0), unique.decode() if lane in names.keyed else "",
+        int(item, 16) if item else 0,
+    )
+
+
+def encode(*items: bytes) -> bytes:
+    return b"*%d\r\n" % len(items) + b"".join(b"$%d\r\n%b\r\n" % (len(item), item) for item in items)
+
+
+_WORDS = {Verdict.SERVED: b"RESULT", Verdict.REFUSED: b"REJECT", Verdict.FAILED: b"ABORTED"}
+
+
+def _said(feedback: float | None) -> list[bytes]:
+    return [] if feedback is None else [b"feedback=%.4f" % feedback]
+
+
+def encode_answer(tag: int, answer: Answer) -> bytes:
+    fields = _said(answer.feedback)
+    if answer.verdict is Verdict.REFUSED:
+        if answer.later_ms:
+            fields.append(b"later=%d" % answer.later_ms)
+        if answer.giveup:
+            fields.append(b"giveup=1")
+    items = [b"%d" % tag, _WORDS[answer.verdict], b",".join(fields)]
+    if answer.body:
+        items.append(answer.body)
+    return encode(*items)
+
+
+class RouterConnection(Connection):
+    """One connection from a router: requests in, one answer to each out."""
+
+    MAX_LENGTH = 32  # between bulk strings there are only short length lines
+
+    def __init__(self, turns: Turns, desk: Desk, names: Names) -> None:
+        super().__init__(turns, INBOUND, OUTBOUND)
+        self.desk, self.names = desk, names
+        self.reader = RespReader()
+        self.open: dict[int, int] = {}  # tag: the core's number of the request (0 = being handed in)
+        self.checks = 0
+        self.drained = self.broken = False
+        self.used = turns.clock.now
+
+    def opened(self) -> None:
+        self.desk.counters["connections"] += 1
+        self.desk.fronts[self] = None
+        self.used = self.turns.clock.now
+
+    def ended(self) -> None:
+        self.desk.fronts.pop(self, None)
+        opened, self.open = self.open, {}
+        for ident in opened.values():
+            self.desk.gave_up(ident)
+
+    def lineReceived(self, line: bytes) -> None:
+        try:
+            frame = self.reader.line(line)
+        except RespError:
+            self.refuse_more()
+            return
+        if self.reader.wanted:
+            self.expect(self.reader.wanted)
+        elif self.reader.skipped:
+            self.discard(self.reader.skipped)
+        if frame:
+            self.take(frame)
+
+    def blockReceived(self, block: bytes) -> None:
+        try:
+            frame = self.reader.block(block)
+        except RespError:
+            self.refuse_more()
+            return
+        if frame:
+            self.take(frame)
+
+    def take(self, items: list[bytes]) -> None:
+        """A whole frame. One that makes no sense gets a failure word if its tag can be answered; else only this
+        connection is closed."""
+        self.used = self.turns.clock.now
+        tag = self.tag_of(items)
+        if tag < 0 or tag in self.open:
+            self.refuse_more()
+            return
+        try:
+            if self.reader.overlong:
+                raise FieldError("over-long string")
+            if items[0] == b"CHECK":
+                self.check(tag, items)
+                return
+            if items[0] != b"CALL":
+                raise FieldError(f"verb {items[0][:20]!r}")
+            incoming = read_call(items, self.names, self.turns.clock, self)
+        except FieldError:
+            self.desk.counters["bad_frames"] += 1
+            self.desk.counters["failed_unread"] += 1
+            self.send(encode_answer(tag, Answer(Verdict.FAILED)))
+            return
+        self.open[tag] = 0
+        ident = self.desk.submit(incoming)
+        if ident and tag in self.open:
+            self.open[tag] = ident
+        if len(self.open) >= OPEN_MOST:  # back-pressure: the rest waits in the ring and the socket
+            self.hold_reading()
+
+    @staticmethod
+    def tag_of(items: list[bytes]) -> int:
+        if len(items) > 1 and _NUMBER.match(items[1]) and 0 < int(items[1]) < TAG_MOST:
+            return int(items[1])
+        return -1
+
+    def check(self, tag: int, items: list[bytes]) -> None:
+        fields = read_fields(items[2]) if len(items) > 2 else {}
+        self.checks += 1
+        self.desk.check(self, tag, fields.get(b"probe") == b"1")
+
+    def refuse_more(self) -> None:
+        """Nothing more can be read here. What is open is still answered, then the connection closes."""
+        if self.broken:
+            return
+        self.broken = True
+        self.desk.counters["bad_frames"] += 1
+        tag = self.tag_of(self.reader.items) if self.reader.left else -1
+        if tag > 0 and tag not in self.open and self.reader.items[0] in (b"CALL", b"CHECK"):
+            self.desk.counters["failed_unread"] += 1
+            self.send(encode_answer(tag, Answer(Verdict.FAILED)))
+        self.hold_reading()
+        self.close_if_done()
+
+    def close_if_done(self) -> None:
+        if self.broken and not self.open and not self.checks:
+            self.close()
+
+    def resume_reading(self) -> None:
+        if not self.broken:
+            super().resume_reading()
+
+    # what the core says
+
+    def answer(self, tag: int, answer: Answer) -> None:
+        if self.open.pop(tag, None) is None:
+            return
+        self.used = self.turns.clock.now
+        self.send(encode_answer(tag, answer))
+        if len(self.open) < OPEN_MOST:
+            self.resume_reading()
+        self.close_if_done()
+
+    def checked(self, tag: int, good: bool, feedback: float | None) -> None:
+        self.checks -= 1
+        self.send(encode(b"%d" % tag, b"READY" if good else b"UNREADY", *_said(feedback)))
+        self.close_if_done()
+
+    def drain(self) -> None:
+        if not self.drained:
+            self.drained = True
+            self.send(encode(b"0", b"DRAIN"))
+
+    def close_if_idle(self, edge: int) -> None:
+        """Closed if nothing is open and nothing has passed since ``edge``."""
+        if not self.open and not self.checks and not len(self.inbound) and self.used < edge:
+            self.desk.counters["closed_idle"] += 1
+            self.close()
--- /dev/null
+++ b/lemonway/net/routing/core.py
@@ -0,0 +1,436 @@
+"""The routing core: turns requests into the brain's events and its actions into answers, runs and calls.
+
+It knows no wire. Both fronts hand requests in with ``submit`` and get each answer once; the pool and the catalogue
+report through the methods named after their notices."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from heapq import heappop, heappush
+from math import ceil
+from typing import Any
+
+from ... import interface as api
+from ...brain import Policy
+from ...interface import Effect, Outcome, Settings
+from ..ports import Announcer, Answer, Catalogue, Front, Incoming, Verdict, WorkerPool
+from ..transport.clock import Turns
+from .kept import KeptKeys
+
+log = logging.getLogger(__name__)
+
+BEAT = 25_000  # between looks at the deadlines, also while the brain asks for no wake-up
+GUARD = 30_000  # past its due time a request is answered by the core itself; the rules allow 60 ms and 50 more
+POLL_WAIT = 20_000  # a wake-up goes ahead with the last gauges if the pool has not answered by then
+ANNOUNCE = 700_000  # between reports: an entry lapses after 3 s
+STOP_MARGIN = 250  # ms before the kill by which everything is answered
+OPEN_MOST = 4096  # requests in hand; with 2 KiB bodies they stay under 16 MB
+KEYS_MOST = 4096
+FORGOTTEN = 60_000_000  # a run whose end never came is struck off so long after its request fell due
+
+
+@dataclass(slots=True, eq=False)
+class Record:
+    """A request in hand, from its reading until it is answered and its run is over."""
+
+    ident: int
+    inc: Incoming
+    due: int
+    repeats: int = 0
+    answered: bool = False
+    running: bool = False  # spawned, its end not yet told
+    suspended: bool = False
+    call: bytes | None = None  # the body of the call it waits at
+    calling_since: int = -1  # when that call went out; -1 = it is not out
+    supplied: bytes | None = None  # the last reply, until the run shows that it came
+    supplied_at: int = 0
+
+
+class Core:
+    def __init__(self, settings: Settings, seed: int, turns: Turns) -> None:
+        self.settings, self.seed, self.turns, self.clock = settings, seed, turns, turns.clock
+        self.pool: WorkerPool
+        self.announcer: Announcer
+        self.catalogue: Catalogue | None = None
+        self.policy: Policy | None = None
+        self.records: dict[int, Record] = {}
+        self.by_txn: dict[str, Record] = {}
+        self.kept = KeptKeys(self.clock)
+        self.fronts: dict[Front, None] = {}
+        self.counters: Counter[str] = Counter()
+        self.good, self.stored, self.draining, self.linked = True, False, False, False
+        self.feedback: float | None = None
+        self.idle_ttl = int(settings.caller_idle * 1000)
+        self._last = 0
+        self._inbox: list[Record | api.Event] = []
+        self._dues: list[tuple[int, int]] = []
+        self._waiting: dict[int, list[Record]] = {}  # a try: the repeats that wait for its result
+        self._gauges: tuple[float, ...] = ()
+        self._polling: int | None = None
+        self._polls = 0
+        self._checks: dict[str, tuple[Front, int]] = {}
+        self._do: dict[type, Callable[[Any], None]] = {
+            api.Admit: self._admit, api.Refuse: self._refuse, api.Fail: self._fail, api.Suspend: self._suspend,
+            api.Call: self._call, api.SkipCall: self._fail, api.Retain: self._retain,
+            api.Forget: self._forget, api.Replay: self._replay, api.SetHealth: self._set_health,
+            api.Advertise: self._advertise, api.KeepAlive: self._keep_alive, api.Wake: self._wake,
+            api.Log: self._log,
+        }
+        turns.step = self.step
+
+    def start(self) -> None:
+        self.turns.after(BEAT, self._beat)
+        self.turns.after(0, self._report)
+
+    # what the fronts say
+
+    def submit(self, inc: Incoming) -> int:
+        """Take a request in. Gives its number, or 0 if it was answered at once."""
+        self.counters["requests"] += 1
+        keyed = self.settings.lanes[inc.lane].effect is Effect.KEYED
+        if inc.txn in self.by_txn:
+            self.counters["bad_txn"] += 1
+            self._send(inc, Answer(Verdict.FAILED))
+            return 0
+        if len(self.records) >= OPEN_MOST or (keyed and len(self.kept) >= KEYS_MOST):
+            self.counters["table_full"] += 1
+            self._send(inc, Answer(Verdict.REFUSED))
+            return 0
+        now = self.clock.now
+        inc.came = min(inc.came, now)
+        due = inc.came + int(self.settings.lanes[inc.lane].deadline * 1000)
+        if inc.patience:
+            due = min(due, inc.came + inc.patience)
+        self._last += 1
+        record = Record(self._last, inc, max(due, now))
+        if keyed:
+            record.repeats = self.kept.earlier(inc.lane, inc.unique, inc.came, record.ident)
+        self.records[record.ident] = self.by_txn[inc.txn] = record
+        heappush(self._dues, (record.due + GUARD, record.ident))
+        self._inbox.append(record)
+        return record.ident
+
+    def gave_up(self, ident: int) -> None:
+        """Nobody waits for this answer any more: none is sent, and what is kept stays kept."""
+        record = self.records.get(ident)
+        if record is None or record.answered:
+            return
+        self.counters["given_up"] += 1
+        record.answered = True
+        self._inbox.append(api.Abandoned(ident))
+        self._settle(record)
+
+    def check(self, front: Front, tag: int, deep: bool) -> None:
+        self.counters["checks"] += 1
+        if deep and not self.stored and self.good and self.linked and len(self._checks) < OPEN_MOST:
+            token = f"c{self.counters['checks']}"
+            self._checks[token] = (front, tag)
+            self.pool.verify(token)
+            self.turns.after(1_000_000, lambda: self.verified(token, False))
+            return
+        front.checked(tag, self.healthy, self.feedback)
+
+    @property
+    def healthy(self) -> bool:
+        return self.good and not self.draining and self.policy is not None
+
+    # what the pool says
+
+    def bound(self, fresh: bool, age: int) -> None:
+        """The pool is up, cold (``fresh``) or warm at its start ``age`` ago. The brain begins its life there."""
+        self.linked = True
+        if self.policy is None:
+            self.policy = Policy(replace(self.settings, fresh_start=fresh), self.seed)
+            self._apply(self.policy.step((self.clock.now - age) / 1000, []))
+            self.announcer.announce(self.healthy)
+
+    def link_lost(self) -> None:
+        self.linked = False
+        self.counters["links_lost"] += 1
+
+    def relinked(self) -> None:
+        """All notices of the time without a link are read: say again what may not have arrived. A run that was
+        started already is not started twice by this; a reply is repeated only if the old link broke soon after
+        it, since a run that has moved on to its next call would take it for that one's."""
+        for record in [r for r in self.records.values() if r.running]:
+            self.pool.spawn(record.inc.txn, self.settings.lanes[record.inc.lane].name, record.inc.body)
+            if record.supplied is not None and self.clock.now - record.supplied_at < 2_000_000:
+                self.pool.supply(record.inc.txn, record.supplied)
+            if record.suspended:
+                self.pool.suspend(record.inc.txn)
+
+    def finished(self, txn: str, outcome: Outcome, ms: float, body: bytes) -> None:
+        record = self.by_txn.get(txn)
+        if record is None or not record.running:
+            self.counters["late_ends"] += 1
+            return
+        self.counters[f"runs_{outcome.name.lower()}"] += 1
+        record.running, record.supplied = False, None
+        self._hang_up(record)
+        paused = record.suspended and not record.answered and outcome is Outcome.CANCELLED
+        record.suspended = False
+        if not paused:
+            if self.settings.lanes[record.inc.lane].effect is Effect.KEYED:
+                self.kept.ended(record.ident, outcome is Outcome.OK, body)
+            self._release_waiting(record.ident, outcome is Outcome.OK, body)
+            # Guards against a result that comes after the answer: ``_answer`` drops it.
+            self._answer(record, Answer(Verdict.SERVED if outcome is Outcome.OK else Verdict.FAILED, body=body))
+            self._settle(record)
+        self._inbox.append(api.Finished(record.ident, ms, outcome))
+
+    def blocked(self, txn: str, body: bytes) -> None:
+        record = self.by_txn.get(txn)
+        if record is None or not record.running or record.call is not None:
+            return
+        record.call, record.supplied = body, None
+        if record.answered:  # its run ends here; nobody needs the call
+            self.pool.suspend(txn)
+        self._inbox.append(api.CallNeeded(record.ident))
+
+    def polled(self, gauges: tuple[float, ...]) -> None:
+        self._gauges = gauges
+        self._woken(self._polling)
+
+    def verified(self, token: str, good: bool) -> None:
+        if check := self._checks.pop(token, None):
+            check[0].checked(check[1], good and self.healthy, self.feedback)
+
+    def unknown(self, command: str, txn: str) -> None:
+        """The pool did not carry a command out. A spawn it will not know of ends as a failure."""
+        self.counters[f"unknown_{command}"] += 1
+        if command == "spawn":
+            self.finished(txn, Outcome.ERROR, 0.0, b"")
+
+    # what the catalogue says
+
+    def call_ended(self, ident: int, outcome: Outcome, body: bytes) -> None:
+        record = self.records.get(ident)
+        if record is None or record.calling_since < 0:
+            return
+        self.counters[f"calls_{outcome.name.lower()}"] += 1
+        took, record.calling_since = self.clock.now - record.calling_since, -1
+        if outcome is Outcome.OK:
+            record.call, record.supplied, record.supplied_at = None, body, self.clock.now
+            self.pool.supply(record.inc.txn, body)
+        self._inbox.append(api.CallEnded(ident, outcome, took / 1000))
+
+    # what the program says
+
+    def drain(self, stop_ms: float) -> None:
+        if self.draining:
+            return
+        self.draining = True
+        self.announcer.announce(False)
+        for front in list(self.fronts):
+            front.drain()
+        # The brain answers everything before what it takes for the kill; the margin guards against the sweep
+        # that falls just short of it and against a slow last write.
+        self._inbox.append(api.Drain(max(0.0, stop_ms - STOP_MARGIN)))
+
+    @property
+    def idle(self) -> bool:
+        return not any(not r.answered for r in self.records.values())
+
+    # turns
+
+    def step(self) -> bool:
+        """The core's part of a turn: what fell due, then one step of the brain with all that came."""
+        now, dues = self.clock.now, self._dues
+        while dues and dues[0][0] <= now:
+            record = self.records.get(heappop(dues)[1])
+            if record is not None and not record.answered:
+                # Guards against a brain that can't answer: no pool yet, or a fault in it.
+                self.counters["answered_by_guard"] += 1
+                self._answer(record, Answer(Verdict.FAILED, late=True))
+                self._inbox.append(api.Abandoned(record.ident))
+                self._settle(record)
+        if self.policy is None or not self._inbox:
+            return False
+        inbox, self._inbox = self._inbox, []
+        events = [self._arrival(e) if isinstance(e, Record) else e for e in inbox]
+        try:
+            actions = self.policy.step(now / 1000, events)
+        except Exception:  # a fault of the brain may not stop the node: the guard answers what it left
+            self.counters["brain_faults"] += 1
+            log.exception("the brain failed on %d events", len(events))
+            self.turns.after(BEAT, lambda: self._woken(1))
+            return False
+        self._apply(actions)
+        return bool(self._inbox)
+
+    def _apply(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            self._do[type(action)](action)
+
+    def _arrival(self, record: Record) -> api.Event:
+        inc = record.inc
+        left = max(0.001, (record.due - self.clock.now) / 1000) if inc.patience else None
+        return api.Arrival(
+            record.ident, inc.lane, inc.tenant, inc.item, left, inc.work_ms, inc.ram_kb, inc.rank,
+            caller=inc.caller, age=(self.clock.now - inc.came) / 1000, repeats=record.repeats,
+            write=self.settings.lanes[inc.lane].effect is not Effect.SAFE,
+        )
+
+    def _beat(self) -> None:
+        self.turns.after(BEAT, self._beat)
+        if self.counters["beats"] % 40 == 0:
+            self.kept.purge()
+            late = self.clock.now - FORGOTTEN
+            for record in [r for r in self.records.values() if r.answered and r.due < late]:
+                self._inbox.append(api.Finished(record.ident, 0.0, Outcome.CANCELLED))
+                record.running = False
+                self._settle(record)
+        self.counters["beats"] += 1
+
+    def _report(self) -> None:
+        self.clock.align()
+        self.turns.after(ANNOUNCE, self._report)
+        if self.policy is not None:
+            self.announcer.announce(self.healthy)
+
+    # the brain's actions
+
+    def _admit(self, a: api.Admit) -> None:
+        record = self.records.get(a.id)
+        if record is None or record.answered:
+            self._inbox.append(api.Finished(a.id, 0.0, Outcome.MOOT))
+            return
+        if record.running:
+            return
+        record.running = True
+        lane = self.settings.lanes[record.inc.lane]
+        if lane.effect is Effect.KEYED:
+            self.kept.ran(record.inc.lane, record.inc.unique, record.ident)
+        self.counters["spawned"] += 1
+        self.pool.spawn(record.inc.txn, lane.name, record.inc.body)
+
+    def _refuse(self, a: api.Refuse) -> None:
+        if record := self.records.get(a.id):
+            late = record.due - self.clock.now <= 2000 * self.settings.tick
+            self._answer(record, Answer(
+                Verdict.REFUSED, later_ms=ceil(a.retry_after), giveup=a.final, late=late,
+            ))
+            self._settle(record)
+
+    def _fail(self, a: api.Fail | api.SkipCall) -> None:
+        if record := self.records.get(a.id):
+            late = record.due - self.clock.now <= 2000 * self.settings.tick
+            self._answer(record, Answer(Verdict.FAILED, late=late))
+            self._settle(record)
+
+    def _suspend(self, a: api.Suspend) -> None:
+        record = self.records.get(a.id)
+        if record is not None and record.running:
+            record.suspended = True
+            self._hang_up(record)
+            self.pool.suspend(record.inc.txn)
+
+    def _call(self, a: api.Call) -> None:
+        record = self.records.get(a.id)
+        if record is None or record.call is None or record.calling_since >= 0:
+            return
+        record.calling_since = self.clock.now
+        self.counters["calls"] += 1
+        if self.catalogue is None:
+            self.call_ended(a.id, Outcome.UNREACHABLE, b"")
+        else:
+            self.catalogue.call(a.id, record.inc.txn, int(a.timeout * 1000), record.call)
+
+    def _retain(self, a: api.Retain) -> None:
+        if record := self.records.get(a.id):
+            self.kept.retain(record.inc.lane, record.inc.unique, a.id, int(a.ttl * 1000))
+
+    def _forget(self, a: api.Forget) -> None:
+        self.kept.forget(a.id)
+
+    def _replay(self, a: api.Replay) -> None:
+        if not (record := self.records.get(a.id)):
+            return
+        self.counters["replays"] += 1
+        source = self.kept.source(record.inc.lane, record.inc.unique) or record.repeats
+        result = self.kept.result(source)
+        if result is not None:
+            self._serve_replay(record, *result)
+        elif source in self.records and source != record.ident:
+            self._waiting.setdefault(source, []).append(record)
+        else:
+            self._serve_replay(record, False, b"")
+
+    def _set_health(self, a: api.SetHealth) -> None:
+        changed, self.good, self.stored = a.good != self.good, a.good, a.stored
+        if changed:
+            self.announcer.announce(self.healthy)
+
+    def _advertise(self, a: api.Advertise) -> None:
+        self.feedback = a.value
+
+    def _keep_alive(self, a: api.KeepAlive) -> None:
+        self.idle_ttl = int(a.ttl * 1000) or int(self.settings.caller_idle * 1000)
+
+    def _wake(self, a: api.Wake) -> None:
+        self.turns.at(int(a.at * 1000), lambda: self._gauge(a.token))
+
+    def _log(self, a: api.Log) -> None:
+        log.info("%s", a.text)
+
+    # wake-ups carry the gauges of that moment
+
+    def _gauge(self, token: int) -> None:
+        self._polling = token
+        if not self.linked:
+            self._woken(token)
+            return
+        self._polls += 1
+        serial = self._polls
+        self.pool.poll(str(serial))
+        self.turns.after(POLL_WAIT, lambda: self._woken(token if serial == self._polls else None))
+
+    def _woken(self, token: int | None) -> None:
+        """Once for each wake-up, by the pool's answer or by the wait for it."""
+        if token is not None and self._polling == token:
+            self._polling = None
+            self._inbox.append(api.Woken(token, self._gauges))
+
+    # answers
+
+    def _answer(self, record: Record, answer: Answer) -> None:
+        if record.answered:
+            return
+        record.answered = True
+        self._send(record.inc, answer)
+        if record.call is not None and record.running:
+            # An answered request ends at its call: its core and memory come free.
+            self._hang_up(record)
+            self.pool.suspend(record.inc.txn)
+
+    def _send(self, inc: Incoming, answer: Answer) -> None:
+        self.counters[answer.verdict.value] += 1
+        answer.feedback = self.feedback
+        inc.front.answer(inc.tag, answer)
+
+    def _settle(self, record: Record) -> None:
+        """Strike off what is answered and has no run."""
+        if record.answered and not record.running and record.ident in self.records:
+            del self.records[record.ident]
+            del self.by_txn[record.inc.txn]
+            self._release_waiting(record.ident, False, b"")
+
+    def _release_waiting(self, ident: int, good: bool, body: bytes) -> None:
+        for waiter in self._waiting.pop(ident, ()):
+            self._serve_replay(waiter, good, body)
+
+    def _serve_replay(self, record: Record, good: bool, body: bytes) -> None:
+        if not record.answered:
+            self._answer(record, Answer(Verdict.SERVED if good else Verdict.FAILED, body=body))
+            self._inbox.append(api.Finished(record.ident, 0.0, Outcome.OK if good else Outcome.ERROR))
+            self._settle(record)
+
+    def _hang_up(self, record: Record) -> None:
+        record.call = None
+        if record.calling_since >= 0:
+            record.calling_since = -1
+            if self.catalogue is not None:
+                self.catalogue.give_up(record.ident)
--- /dev/null
+++ b/lemonway/net/routing/kept.py
@@ -0,0 +1,85 @@
+"""The table of keyed tries and their results: what links a repeat to the try that ran."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..transport.clock import Clock
+
+LATE_READ = 10_000_000  # an entry stays so long past its end for repeats that came in time but are read late
+
+
+@dataclass(slots=True)
+class Entry:
+    holder: int  # the newest try that was kept
+    until: int
+    turn: int  # the time of the turn in which its first try was read
+    ran: int = 0  # the try that ran, if one has
+    result: tuple[bool, bytes] | None = None
+
+
+class KeptKeys:
+    """Entries by class and key. An entry that ran outlives ``forget`` of a later try."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._entries: dict[tuple[int, str], Entry] = {}
+        self._keys: dict[int, tuple[int, str]] = {}  # a kept or run try: its key
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def earlier(self, lane: int, unique: str, came: int, ident: int) -> int:
+        """The try that this one repeats, or 0. Two read in one turn are linked even before the brain keeps one."""
+        key, now = (lane, unique), self._clock.now
+        entry = self._entries.get(key)
+        if entry is None or (came > entry.until and entry.turn != now):
+            self._entries[key] = Entry(ident, 0, now)
+            self._keys[ident] = key
+            return 0
+        return entry.ran or entry.holder
+
+    def retain(self, lane: int, unique: str, ident: int, ttl: int) -> None:
+        entry = self._entries.get((lane, unique))
+        if entry is None:
+            entry = self._entries[(lane, unique)] = Entry(ident, 0, self._clock.now)
+        self._keys[ident] = (lane, unique)
+        entry.holder, entry.until = ident, max(entry.until, self._clock.now + ttl)
+
+    def forget(self, ident: int) -> None:
+        key = self._keys.get(ident)
+        entry = self._entries.get(key) if key else None
+        if key is not None and entry is not None and entry.holder == ident and not entry.ran:
+            self._drop(key, entry)
+
+    def ran(self, lane: int, unique: str, ident: int) -> None:
+        if entry := self._entries.get((lane, unique)):
+            entry.ran = ident
+            self._keys[ident] = (lane, unique)
+
+    def ended(self, ident: int, good: bool, body: bytes) -> None:
+        key = self._keys.get(ident)
+        entry = self._entries.get(key) if key else None
+        if entry is not None and entry.ran == ident:
+            entry.result = (good, body)
+
+    def source(self, lane: int, unique: str) -> int:
+        entry = self._entries.get((lane, unique))
+        return entry.ran if entry else 0
+
+    def result(self, ident: int) -> tuple[bool, bytes] | None:
+        key = self._keys.get(ident)
+        entry = self._entries.get(key) if key else None
+        return entry.result if entry is not None and entry.ran == ident else None
+
+    def purge(self) -> None:
+        edge = self._clock.now - LATE_READ
+        for key, entry in [(k, e) for k, e in self._entries.items() if e.until < edge and e.turn < edge]:
+            self._drop(key, entry)
+        for ident in [i for i, key in self._keys.items() if key not in self._entries]:
+            del self._keys[ident]
+
+    def _drop(self, key: tuple[int, str], entry: Entry) -> None:
+        del self._entries[key]
+        for ident in (entry.holder, entry.ran):
+            self._keys.pop(ident, None)
--- /dev/null
+++ b/lemonway/net/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes, time and connections; nothing here knows a message."""
--- /dev/null
+++ b/lemonway/net/transport/clock.py
@@ -0,0 +1,106 @@
+"""Time and the turns of the loop. A time is a whole number of microseconds of the monotonic clock."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any, Protocol
+
+Timed = Callable[[], None]
+
+
+class Flushable(Protocol):
+    def flush(self) -> None: ...
+
+
+class Clock:
+    """``now`` is read once a turn; the distance to the Unix clock is taken anew with ``align``."""
+
+    __slots__ = ("now", "_unix")
+
+    def __init__(self) -> None:
+        self.now = self._unix = 0
+        self.read()
+        self.align()
+
+    def read(self) -> int:
+        self.now = time.monotonic_ns() // 1000
+        return self.now
+
+    def align(self) -> None:
+        self._unix = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+    def from_unix_ms(self, stamp: int) -> int:
+        """A Unix stamp in milliseconds, on this clock."""
+        return stamp * 1000 - self._unix
+
+    def to_unix_ms(self, at: int) -> int:
+        return (at + self._unix) // 1000
+
+
+class Turns:
+    """One turn of the loop: connections take in what came, then due timers run, then the core steps once, then
+    what was written goes out. All timers share one heap and one delayed call of the reactor."""
+
+    def __init__(self, reactor: Any, clock: Clock) -> None:
+        self.reactor, self.clock = reactor, clock
+        self.step: Callable[[], bool] = lambda: False  # the core's step; True asks for another turn
+        self._open = False
+        self._order = 0
+        self._heap: list[tuple[int, int, Timed]] = []
+        self._alarm: Any = None
+        self._alarm_at = 0
+        self._dirty: dict[Flushable, None] = {}
+
+    def begin(self) -> None:
+        """Called by whatever the loop wakes: the first call of a turn reads the clock."""
+        if not self._open:
+            self._open = True
+            self.clock.read()
+            self.reactor.callLater(0, self._end)
+
+    def at(self, when: int, call: Timed) -> None:
+        """Have ``call`` made in the first turn at or after ``when``. It can't be recalled: it must look whether
+        it still applies."""
+        self._order += 1
+        heappush(self._heap, (when, self._order, call))
+        if not self._open:
+            self._arm()
+
+    def after(self, delay: int, call: Timed) -> None:
+        self.at(self.clock.now + delay, call)
+
+    def wrote(self, connection: Flushable) -> None:
+        self._dirty[connection] = None
+        self.begin()
+
+    def _end(self) -> None:
+        heap, now = self._heap, self.clock.now
+        while heap and heap[0][0] <= now:
+            heappop(heap)[2]()
+        again = self.step()
+        dirty, self._dirty = self._dirty, {}
+        for connection in dirty:
+            connection.flush()
+        self._open = False
+        if again or self._dirty:
+            self.begin()
+        self._arm()
+
+    def _arm(self) -> None:
+        if not self._heap:
+            return
+        at = self._heap[0][0]
+        if self._alarm is not None and self._alarm.active():
+            if at == self._alarm_at:
+                return
+            self._alarm.cancel()
+        # The heap's head moves a few times a second, not with each request: one delayed call is enough.
+        delay = max(0, at - time.monotonic_ns() // 1000) / 1e6
+        self._alarm_at, self._alarm = at, self.reactor.callLater(delay, self._ring)
+
+    def _ring(self) -> None:
+        self._alarm = None
+        if not self._open:
+            self.begin()
