Add the uwsgi front, the rehearsal kit's stand-ins, the nginx importer and tests per rule

The stand-ins (router, web server, worker pool, acervo) are part of the package; the tests use them on port 0.

--- /dev/null
+++ b/lemonway/kit/acervo.py
@@ -0,0 +1,80 @@
+"""A stand-in ``acervo``: the next tier, as the node's catalogue address shows it."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+REPLIES = {
+    "ok": b"HTTP/1.1 200 OK\r\n", "declined": b"HTTP/1.1 503 Service Unavailable\r\nX-Declined: 1\r\n",
+    "failed": b"HTTP/1.1 500 Internal Server Error\r\n", "late": b"HTTP/1.1 504 Gateway Timeout\r\n",
+    "over": b"HTTP/1.1 409 Conflict\r\nX-Declined: 1\r\n",
+}
+
+
+class AcervoSide(LineReceiver):
+    transport: Any
+
+    def __init__(self, acervo: StandInAcervo) -> None:
+        self.acervo = acervo
+        self._head: list[bytes] = []
+        self._body, self._size = b"", 0
+
+    def connectionMade(self) -> None:
+        self.acervo.open += 1
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.acervo.open -= 1
+
+    def lineReceived(self, line: bytes) -> None:
+        if line:
+            self._head.append(line)
+            return
+        headers = dict(part.split(b": ", 1) for part in self._head[1:])
+        self._size, self._body = int(headers[b"Content-Length"]), b""
+        self._txn = headers[b"X-On-Behalf"].decode()
+        self.acervo.patiences.append(int(headers[b"X-Patience"]))
+        self.setRawMode()
+        self.rawDataReceived(b"")
+
+    def rawDataReceived(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) >= self._size:
+            body, rest = self._body[: self._size], self._body[self._size :]
+            self._head = []
+            self.acervo.called(self, self._txn, body)
+            self.setLineMode(rest)
+
+
+class StandInAcervo(ServerFactory):
+    """Answers calls with what a case has put in ``script``, then with ``ok`` for good. A reply can also be
+    ``break`` (close the connection unanswered) or ``silent``."""
+
+    noisy = False
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self.script: deque[str] = deque()
+        self.seconds = 0.0
+        self.calls: list[tuple[str, bytes]] = []
+        self.patiences: list[int] = []
+        self.open = 0
+
+    def buildProtocol(self, addr: Any) -> AcervoSide:
+        return AcervoSide(self)
+
+    def called(self, side: AcervoSide, txn: str, body: bytes) -> None:
+        self.calls.append((txn, body))
+        word = self.script.popleft() if self.script else "ok"
+        if word == "break":
+            side.transport.abortConnection()
+        elif word != "silent":
+            self.reactor.callLater(self.seconds, self.reply, side, word, txn)
+
+    def reply(self, side: AcervoSide, word: str, txn: str) -> None:
+        body = b"entry for " + txn.encode() if word == "ok" else b""
+        side.transport.write(REPLIES[word] + b"Content-Length: %d\r\n\r\n" % len(body) + body)
--- a/lemonway/net/ports.py
+++ b/lemonway/net/ports.py
@@ -89,6 +89,9 @@
     idle_ttl: int
     draining: bool
 
+    @property
+    def healthy(self) -> bool: ...
+
     def submit(self, inc: Incoming) -> int: ...
 
     def gave_up(self, ident: int) -> None: ...
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -15,8 +15,10 @@
 from ..protocol.catalogue import CatalogueClient
 from ..protocol.pool import PoolLink
 from ..protocol.resp import Names, RouterConnection
+from ..protocol.uwsgi import Site, UwsgiFront
 from ..routing.core import Core
 from ..transport.clock import Clock, Turns
+from ..transport.connection import Connection
 from .config import Config
 
 log = logging.getLogger(__name__)
@@ -47,7 +49,7 @@
 
 
 class Node:
-    def __init__(self, config: Config, reactor: Any) -> None:
+    def __init__(self, config: Config, reactor: Any, site: Site | None = None) -> None:
         self.config, self.reactor = config, reactor
         self.turns = Turns(reactor, Clock())
         self.core = Core(config.settings, config.seed, self.turns)
@@ -63,7 +65,9 @@
         if config.announce is not None:
             self.announcer = AnnounceClient(reactor, config.name, config.announce.host, config.announce.port)
             self.core.announcer = self.announcer
-        self.routers = RouterFactory(self.turns, self.core, config.sockets - SPARE_SOCKETS)
+        self.uwsgi = None if site is None else UwsgiFront(self.turns, self.core, site)
+        taken = SPARE_SOCKETS + (0 if site is None else site.max_connections)
+        self.routers = RouterFactory(self.turns, self.core, max(16, config.sockets - taken))
         self.ports: list[Any] = []
         self.grace_until = self.stop_by = 0
         self.ended = False
@@ -73,6 +77,9 @@
             self.announcer.start()
         self.ports.append(self.reactor.listenTCP(
             self.config.listen.port, self.routers, backlog=512, interface=self.config.listen.host))
+        if self.uwsgi is not None:
+            site = self.uwsgi.site
+            self.ports.append(self.reactor.listenTCP(site.port, self.uwsgi, backlog=256, interface=site.host))
         self.core.start()
         self.pool.start()
         self.turns.after(SWEEP, self.sweep)
@@ -84,6 +91,8 @@
         for front in list(self.core.fronts):
             if isinstance(front, RouterConnection):
                 front.close_if_idle(edge)
+        if self.uwsgi is not None:
+            self.uwsgi.sweep()
         if self.catalogue is not None:
             self.catalogue.close_idle()
 
@@ -116,6 +125,21 @@
             self.ended = True
             self.reactor.callLater(0, self.reactor.stop)
 
+    def stop(self) -> None:
+        """Let go of every socket and timer, at once."""
+        for port in self.ports:
+            port.stopListening()
+        self.ports = []
+        self.pool.stop()
+        if self.catalogue is not None:
+            self.catalogue.stop()
+        if self.announcer is not None:
+            self.announcer.stop()
+        for front in list(self.core.fronts):
+            if isinstance(front, Connection):
+                front.abort()
+        self.turns.stop()
+
     def print_counters(self) -> None:
         shown = dict(sorted(self.core.counters.items()))
         shown["open"] = sum(not r.answered for r in self.core.records.values())
@@ -124,11 +148,11 @@
               flush=True)
 
 
-def run(config: Config) -> int:
+def run(config: Config, site: Site | None = None) -> int:
     from twisted.internet import reactor  # installs the reactor: only when the program really runs
 
     loop: Any = reactor
-    node = Node(config, loop)
+    node = Node(config, loop, site)
     loop.callWhenRunning(node.start)
     for number, call in ((signal.SIGTERM, node.drain), (signal.SIGINT, node.drain),
                          (signal.SIGUSR1, node.print_counters)):
--- a/lemonway/net/protocol/announce.py
+++ b/lemonway/net/protocol/announce.py
@@ -22,6 +22,10 @@
     def start(self) -> None:
         self.reactor.listenUDP(0, self, interface="127.0.0.1" if self.address[0].startswith("127.") else "")
 
+    def stop(self) -> None:
+        if self.transport is not None:
+            self.transport.stopListening()
+
     def announce(self, accepting: bool) -> None:
         if self.transport is not None:
             try:
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -244,6 +244,10 @@
             connection.call = None
             connection.abort()
 
+    def stop(self) -> None:
+        for connection in [*self.idle, *self.used.values()]:
+            connection.abort()
+
     def close_idle(self) -> None:
         edge = self.turns.clock.now - IDLE_MOST
         for connection in [c for c in self.idle if c.used < edge]:
--- a/lemonway/net/transport/clock.py
+++ b/lemonway/net/transport/clock.py
@@ -71,6 +71,13 @@
     def after(self, delay: int, call: Timed) -> None:
         self.at(self.clock.now + delay, call)
 
+    def stop(self) -> None:
+        """Forget every timer."""
+        self._heap.clear()
+        if self._alarm is not None and self._alarm.active():
+            self._alarm.cancel()
+        self.step = lambda: False
+
     def wrote(self, connection: Flushable) -> None:
         self._dirty[connection] = None
         self.begin()
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,262 @@
+"""Tables of cases for every parser; no sockets."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from lemonway.interface import Outcome
+from lemonway.kit.nginx import read_size, read_time
+from lemonway.kit.stage import site_file, site_settings
+from lemonway.net.ports import Answer, Verdict
+from lemonway.net.program.config import ConfigError, read_config
+from lemonway.net.program.uwsgi_site import read_site
+from lemonway.net.protocol import catalogue, pool, resp, uwsgi
+from lemonway.net.protocol.announce import encode_report
+from lemonway.net.transport.clock import Clock
+from lemonway.net.transport.ring import RingBuffer
+
+CONFIG = {"name": "n3", "listen": "127.0.0.1:1", "pool": "127.0.0.1:2", "seed": "8c", "settings": site_settings()}
+
+
+class Ring(unittest.TestCase):
+    def test_bytes_come_out_in_order_across_the_seam(self) -> None:
+        ring, sent, got = RingBuffer(16, 4), b"", b""
+        for n in range(200):
+            chunk = bytes((n + i) % 256 for i in range(n % 7))
+            if ring.write(chunk):
+                sent += chunk
+            got += ring.read(n % 5)
+        self.assertEqual(sent, got + ring.read(99))
+        self.assertGreater(len(sent), 300)
+
+    def test_a_full_ring_takes_nothing(self) -> None:
+        ring = RingBuffer(8)
+        self.assertTrue(ring.write(b"12345678"))
+        self.assertFalse(ring.write(b"9"))
+        self.assertEqual((len(ring), ring.room, ring.peek(99)), (8, 0, b"12345678"))
+
+    def test_find_sees_a_needle_wherever_it_lies(self) -> None:
+        for shift in range(8):
+            ring = RingBuffer(8, 8)
+            ring.write(b"." * shift)
+            ring.skip(shift - 1) if shift else None
+            ring.write(b"ab\r\nc")
+            lead = 1 if shift else 0
+            self.assertEqual(ring.find(b"\r\n", 8), 2 + lead)
+            self.assertEqual(ring.find(b"\r\n", 3 + lead), -1, "it must lie whole within the limit")
+            self.assertEqual(ring.find(b"zz", 8), -1)
+
+
+def feed(data: bytes) -> list[Any]:
+    """What a RESP reader makes of a stream: frames, then the word ERROR where it gives up."""
+    reader, out = resp.RespReader(), list[Any]()
+    try:
+        while data:
+            if reader.wanted:
+                size, reader.wanted = reader.wanted, 0
+                frame, data = reader.block(data[:size]), data[size:]
+            else:
+                line, _, data = data.partition(b"\r\n")
+                frame = reader.line(line)
+                data, reader.skipped = data[reader.skipped :], 0
+            if frame:
+                out.append((frame, reader.overlong))
+    except resp.RespError:
+        out.append("ERROR")
+    return out
+
+
+class Resp(unittest.TestCase):
+    def test_frames(self) -> None:
+        long = b"x" * 1025
+        for data, expected in [
+            (b"*1\r\n$2\r\nhi\r\n", [([b"hi"], False)]),
+            (b"*2\r\n$0\r\n\r\n$4\r\na\r\nb\r\n", [([b"", b"a\r\nb"], False)]),
+            (b"*1\r\n$1\r\na\r\n*1\r\n$1\r\nb\r\n", [([b"a"], False), ([b"b"], False)]),
+            (b"*2\r\n$1025\r\n" + long + b"\r\n$1\r\nz\r\n", [([b"", b"z"], True)]),
+            (b"*0\r\n", ["ERROR"]), (b"*9\r\n", ["ERROR"]), (b"*-1\r\n", ["ERROR"]), (b"PING\r\n", ["ERROR"]),
+            (b"*1\r\n:5\r\n", ["ERROR"]), (b"*1\r\n$-1\r\n", ["ERROR"]), (b"*1\r\n$+1\r\n", ["ERROR"]),
+            (b"*1\r\n$65537\r\n", ["ERROR"]), (b"*1\r\n$2\r\nabcd", ["ERROR"]), (b"*x\r\n", ["ERROR"]),
+        ]:
+            with self.subTest(data[:30]):
+                self.assertEqual(feed(data), expected)
+
+    def test_fields(self) -> None:
+        clock, settings = Clock(), read_config(CONFIG, {}).settings
+        names, front = resp.Names.of(settings), None
+        good = b"txn=9b1f03aa5c7e2d41,door=1764576000123,lb=4,team=casa-memoria,cpu=12.50,ram=24.5,standing=0.6250"
+        key = b",unique=5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+        def read(handler: bytes, fields: bytes) -> Any:
+            return resp.read_call([b"CALL", b"7", handler, fields, b"BODY"], names, clock, front)  # type: ignore
+
+        got = read(b"cadastro", good + key)
+        self.assertEqual((got.tag, got.txn, got.lane, got.tenant), (7, "9b1f03aa5c7e2d41", 3, 1))
+        self.assertEqual((got.caller, got.work_ms, got.ram_kb, got.rank), (4, 12.5, 24.5, 0.625))
+        self.assertEqual((got.unique, got.body), (key[8:].decode(), b"BODY"))
+        self.assertLess(abs(clock.to_unix_ms(got.came) - 1764576000123), 2)
+        for handler, fields in [
+            (b"nothing", good), (b"cadastro", good), (b"cadastro", good + b",unique=xyz"),
+            (b"busca", b"door=1764576000123"), (b"busca", b"txn=9B1F03AA5C7E2D41,door=1"),
+            (b"busca", good.replace(b"1764576000123", b"1e9")), (b"busca", good.replace(b"lb=4", b"lb=-4")),
+            (b"busca", good.replace(b"casa-memoria", b"louvre")), (b"busca", good.replace(b"12.50", b"nan")),
+            (b"busca", good.replace(b"0.6250", b"1.0000")), (b"busca", good + b",txn=9b1f03aa5c7e2d41"),
+            (b"busca", good + b",item=zz"), (b"busca", good + b",oops"), (b"busca", b""),
+        ]:
+            with self.subTest(fields), self.assertRaises(resp.FieldError):
+                read(handler, fields)
+
+    def test_answers(self) -> None:
+        for answer, items in [
+            (Answer(Verdict.SERVED, 0.1, body=b"r"), (b"7", b"RESULT", b"feedback=0.1000", b"r")),
+            (Answer(Verdict.SERVED), (b"7", b"RESULT", b"")),
+            (Answer(Verdict.REFUSED, None, 40, True), (b"7", b"REJECT", b"later=40,giveup=1")),
+            (Answer(Verdict.FAILED, 0.0, 40), (b"7", b"ABORTED", b"feedback=0.0000")),
+        ]:
+            self.assertEqual(resp.encode_answer(7, answer), resp.encode(*items))
+
+
+class Lines(unittest.TestCase):
+    def test_notices(self) -> None:
+        for line, kind, serial, name, length in [
+            (b"finished 4 9b1f good 12.5 96", b"finished", 4, "9b1f", 96),
+            (b"finished 5 9b1f gone 0 0", b"finished", 5, "9b1f", 0),
+            (b"blocked 6 9b1f 12", b"blocked", 6, "9b1f", 12), (b"polled t 0.5 3 0.1 8", b"polled", 0, "t", -1),
+            (b"bound old 120.5", b"bound", 0, "", -1), (b"verified c1 bad", b"verified", 0, "c1", -1),
+            (b"unknown spawn 9b1f", b"unknown", 0, "spawn", -1), (b"chatter 7 so it goes", b"chatter", 7, "", -1),
+        ]:
+            with self.subTest(line):
+                got = pool.parse_notice(line)
+                self.assertEqual((got.kind, got.serial, got.name, got.length), (kind, serial, name, length))
+        for line in [b"", b"finished 4 9b1f fine 1 1", b"finished x 9b1f good 1 1", b"finished 4 9b1f good 1 -1",
+                     b"finished 4 9b1f good nan 1", b"blocked 6 9b1f", b"bound odd 1", b"polled t x", b"bind 0",
+                     b"blocked 6 \xff 1"]:
+            with self.subTest(line), self.assertRaises(pool.PoolError):
+                pool.parse_notice(line)
+
+    def test_replies(self) -> None:
+        one, none = b"Content-Length: 1", b"Content-Length: 0"
+        for lines, outcome, keep in [
+            ([b"HTTP/1.1 200 OK", one, b""], Outcome.OK, True), ([b"HTTP/1.0 200 OK", one, b""], Outcome.OK, False),
+            ([b"HTTP/1.1 503 No", none, b"x-declined:1", b""], Outcome.TURNED_AWAY, True),
+            ([b"HTTP/1.1 503 No", none, b""], Outcome.ERROR, True),
+            ([b"HTTP/1.1 500 No", none, b"Connection: close", b""], Outcome.ERROR, False),
+            ([b"HTTP/1.1 504 Late", none, b""], Outcome.TIMED_OUT, True),
+            ([b"HTTP/1.1 409", none, b"X-Declined: 1", b""], Outcome.TURNED_AWAY, True),
+            ([b"HTTP/1.1 100 Continue", b"", b"HTTP/1.1 200 OK", one, b""], Outcome.OK, True),
+        ]:
+            with self.subTest(lines):
+                reader = catalogue.ReplyReader()
+                self.assertEqual([reader.line(line) for line in lines][-1], True)
+                self.assertEqual(catalogue.outcome_of(reader.status, reader.declined), outcome)
+                self.assertEqual(reader.keep, keep)
+        for lines in [[b"HTTP/2 200"], [b"HTTP/1.1 200 OK", b""], [b"HTTP/1.1 200 OK", b"junk"],
+                      [b"HTTP/1.1 200 OK", b"Content-Length: 99999999"], [b"HTTP/1.1 200 OK", one, none],
+                      [b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked"]]:
+            with self.subTest(lines), self.assertRaises(catalogue.ReplyError):
+                reader = catalogue.ReplyReader()
+                for line in lines:
+                    reader.line(line)
+
+    def test_a_report_is_three_words(self) -> None:
+        self.assertEqual(encode_report("n3", True), b"announce n3 true")
+        self.assertEqual(encode_report("n3", False), b"announce n3 false")
+
+
+class Uwsgi(unittest.TestCase):
+    def test_packets(self) -> None:
+        self.assertEqual(uwsgi.parse_head(b"\x00\x34\x12\x05"), (0, 0x1234, 5))
+        for block, expected in [
+            (b"", {}), (b"\1\0a\2\0bc", {"a": "bc"}), (b"\1\0a\0\0\1\0b\1\0c", {"a": "", "b": "c"}),
+        ]:
+            self.assertEqual(uwsgi.parse_vars(block), expected)
+        for block in [b"\1", b"\1\0", b"\1\0a", b"\1\0a\5\0b", b"\0\0\1\0a", b"\xff\xffa"]:
+            with self.subTest(block), self.assertRaises(uwsgi.UwsgiError):
+                uwsgi.parse_vars(block)
+
+    def test_body_lengths(self) -> None:
+        for raw, size in [("", 0), ("0", 0), ("12", 12), (" 12 ", 12), ("2048", 2048)]:
+            self.assertEqual(uwsgi.body_length({"CONTENT_LENGTH": raw}, 2048), size)
+        for raw in ["-1", "1.5", "0x10", "١٢", "9" * 19]:
+            with self.subTest(raw), self.assertRaises(uwsgi.UwsgiError):
+                uwsgi.body_length({"CONTENT_LENGTH": raw}, 2048)
+        with self.assertRaises(uwsgi.TooLarge):
+            uwsgi.body_length({"CONTENT_LENGTH": "2049"}, 2048)
+
+    def test_what_each_answer_becomes(self) -> None:
+        for answer, status, retry in [
+            (Answer(Verdict.SERVED), 200, None), (Answer(Verdict.REFUSED, later_ms=1), 503, b"1"),
+            (Answer(Verdict.REFUSED, later_ms=1000), 503, b"1"), (Answer(Verdict.REFUSED, later_ms=1001), 503, b"2"),
+            (Answer(Verdict.REFUSED), 503, None), (Answer(Verdict.FAILED), 502, None),
+            (Answer(Verdict.FAILED, late=True), 504, None), (Answer(Verdict.REFUSED, later_ms=9, late=True), 504, None),
+        ]:
+            with self.subTest(answer):
+                self.assertEqual(uwsgi.status_of(answer), status)
+                raw = uwsgi.encode_response(status, b"x", answer.later_ms)
+                self.assertTrue(raw.startswith(b"HTTP/1.1 %d " % status))
+                self.assertEqual(b"Retry-After" in raw, retry is not None)
+                if retry is not None:
+                    self.assertIn(b"\r\nRetry-After: %b\r\n" % retry, raw)
+
+    def test_places(self) -> None:
+        raw = site_file(location=[
+            {"path": "/", "class": "busca"}, {"path": "/m", "class": "miniatura"},
+            {"path": "/m/x", "match": "exact", "class": "cadastro"}, {"path": "/m/x", "class": "visualizador"},
+        ], default_tenant="museu-sertao")
+        site = read_site(raw, read_config(CONFIG, {}).settings)
+        for path, lane in [("/", 2), ("/z", 2), ("/m", 0), ("/mz", 0), ("/m/x", 3), ("/m/x/", 1)]:
+            found = site.locate(path)
+            self.assertEqual(found and found.lane, lane, path)
+        for host, tenant in [("grande.museus.example", 0), ("Grande.Museus.Example:80", 0), ("other", 3), ("", 3)]:
+            self.assertEqual(site.tenant_of(host), tenant, host)
+
+
+class Configuration(unittest.TestCase):
+    def test_the_environment_goes_first(self) -> None:
+        got = read_config(CONFIG, {"EDGE_NAME": "n9", "EDGE_LISTEN": "127.0.0.9:99"})
+        self.assertEqual((got.name, got.listen.host, got.listen.port, got.seed), ("n9", "127.0.0.9", 99, 0x8C))
+        self.assertEqual([lane.name for lane in got.settings.lanes][3], "cadastro")
+        self.assertEqual(got.settings.meters, ("cpu_busy", "runnable", "mem_used", "sockets"))
+
+    def test_what_is_wrong_is_named(self) -> None:
+        for key, value in [("name", ""), ("name", 5), ("listen", "here"), ("pool", "a:b"), ("pool", 3),
+                           ("seed", "zz"), ("stop_ms", -1), ("stop_ms", "x"), ("limits", []), ("settings", 1),
+                           ("announce", "x"), ("catalog", ":1")]:
+            with self.subTest(key=key, value=value):
+                with self.assertRaises(ConfigError) as caught:
+                    read_config(CONFIG | {key: value}, {})
+                self.assertTrue(str(caught.exception).startswith(key))
+        deep = site_settings()
+        deep["lanes"][1]["aim"] = "soon"
+        for settings, named in [(deep, "lanes.1.aim"), ({"familyInfo": {"cores": 0}}, "cores")]:
+            with self.assertRaisesRegex(ConfigError, named):
+                read_config(CONFIG | {"settings": settings}, {})
+
+    def test_what_is_wrong_in_the_uwsgi_file_is_named(self) -> None:
+        settings = read_config(CONFIG, {}).settings
+        location = {"path": "/x", "class": "busca"}
+        cases: list[tuple[dict[str, Any], str]] = [
+            ({"listen": "x"}, "uwsgi.listen"), ({"location": []}, "uwsgi.location"), ({"port": 1}, "uwsgi.port"),
+            ({"location": [location | {"class": "x"}]}, "uwsgi.location.0.class"),
+            ({"location": [location | {"path": "x"}]}, "uwsgi.location.0.path"),
+            ({"location": [location, location]}, "uwsgi.location.1.path"),
+            ({"location": [location | {"match": "regex"}]}, "uwsgi.location.0.match"),
+            ({"location": [location | {"timeout_ms": "5s"}]}, "uwsgi.location.0.timeout_ms"),
+            ({"hosts": {"a": "louvre"}}, "uwsgi.hosts.a"), ({"max_body": 10**9}, "uwsgi.max_body"),
+            ({"read_timeout_ms": 0}, "uwsgi.read_timeout_ms"), ({"ram_kb": True}, "uwsgi.ram_kb"),
+        ]
+        for change, named in cases:
+            with self.subTest(change), self.assertRaisesRegex(ConfigError, f"^{named}"):
+                read_site(site_file(**change), settings)
+
+    def test_nginx_units(self) -> None:
+        for word, ms in [("5", 5000), ("5s", 5000), ("500ms", 500), ("1m30s", 90_000), ("1h", 3_600_000),
+                         ("", None), ("soon", None), ("-1", None)]:
+            self.assertEqual(read_time(word), ms, word)
+        for word, size in [("2048", 2048), ("2k", 2048), ("1M", 1024**2), ("x", None), ("", None)]:
+            self.assertEqual(read_size(word), size, word)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_resp_rules.py
@@ -0,0 +1,295 @@
+"""The rules on real sockets, through the routers' front: one test each, with the rehearsal kit's stand-ins."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from typing import Any
+
+from lemonway.kit.stage import Stage, site_settings
+
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+class OnStage(unittest.TestCase):
+    def stage(self, **options: Any) -> Stage:
+        stage = Stage(**options)
+        self.addCleanup(stage.close)
+        self.addCleanup(lambda: self.assertEqual(stage.node.core.counters["brain_faults"], 0))
+        return stage
+
+
+class Lost(OnStage):
+    def test_each_request_gets_its_own_run_result(self) -> None:
+        stage = self.stage(calls=2)
+        one, two = stage.router("a"), stage.router("b")
+        tags = [(client, client.call(name, f"{name} {n}".encode()))
+                for n, name in enumerate(["miniatura", "visualizador"]) for client in (one, two)]
+        tags += [(one, one.call("cadastro", b"\r\n*1\r\n\0", unique=KEY))]
+        stage.settle()
+        self.assertEqual(stage.tally.faults(), [])
+        for client, tag in tags:
+            word, _, body = client.answers[tag]
+            self.assertEqual((word, body.count(b"entry for ")), ("RESULT", 2))
+        self.assertTrue(one.answers[tags[-1][1]][2].startswith(b"cadastro|\r\n*1\r\n\0|"))
+        self.assertEqual(len(stage.acervo.calls), 2 * len(tags))
+
+    def test_an_answer_comes_by_the_due_time_with_no_pool(self) -> None:
+        """Guards the deadline kept by the core itself: before `bound` there is no brain to ask."""
+        stage = self.stage(pool_up=False)
+        router = stage.router()
+        tag = router.call("busca", age_ms=2900)
+        stage.spin(lambda: tag in router.answers, 1.0)
+        self.assertEqual(router.answers[tag][0], "ABORTED")
+        stage.pool.come_up()
+        later = router.call("busca")
+        stage.settle()
+        self.assertEqual((router.answers[later][0], stage.tally.faults()), ("RESULT", []))
+
+    def test_an_answer_comes_by_the_due_time_when_the_pool_falls_silent(self) -> None:
+        stage = self.stage()
+        stage.pool.silent = True
+        router = stage.router()
+        tag = router.call("busca", age_ms=2800)
+        stage.spin(lambda: tag in router.answers, 1.0)
+        stage.pool.silent = False
+        stage.pool.cut()  # the notice that was never sent comes over the new link: late, and dropped
+        stage.spin(lambda: len(stage.pool.binds) == 2)
+        stage.spin(lambda: not stage.node.core.records)
+        self.assertEqual((len(router.order), stage.tally.faults()), (1, []))
+
+    def test_a_broken_link_loses_no_run_and_no_notice(self) -> None:
+        stage = self.stage(calls=1)
+        stage.pool.plans["busca"].held = True
+        router = stage.router()
+        tags = [router.call("busca", b"%d" % n) for n in range(4)]
+        stage.spin(lambda: len(stage.pool.spawned) == 4)
+        stage.pool.cut()
+        tags.append(router.call("busca", b"4"))  # its spawn falls between two links
+        stage.pool.release("busca")  # and so do these notices
+        stage.settle()
+        self.assertEqual([router.answers[tag][0] for tag in tags], ["RESULT"] * 5)
+        self.assertEqual((stage.tally.faults(), len(stage.pool.binds)), ([], 2))
+
+    def test_bound_long_after_the_start_and_cold(self) -> None:
+        stage = self.stage(pool_up=False)
+        router = stage.router()
+        check = router.check(True)
+        stage.settle()
+        self.assertEqual(router.answers[check][0], "UNREADY")
+        self.assertEqual(stage.sink.reports, [], "it is not on the list before its pool is up")
+        stage.pool.state, stage.pool.age_ms = "new", 1500
+        stage.pool.come_up()
+        stage.spin(lambda: b"announce n1 true" in stage.sink.reports)
+        policy = stage.node.core.policy
+        assert policy is not None
+        self.assertTrue(policy.s.fresh_start)
+        self.assertLess(abs(stage.node.turns.clock.now / 1000 - policy.begun - 1500), 500)
+
+
+class Duplicate(OnStage):
+    def test_a_repeat_takes_the_result_of_the_try_that_ran(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["cadastro"].held = True
+        one, two = stage.router("a"), stage.router("b")
+        first = one.call("cadastro", b"entry", unique=KEY)
+        stage.spin(lambda: len(stage.pool.spawned) == 1)
+        during = two.call("cadastro", b"entry", unique=KEY)
+        stage.spin_for(0.1)
+        stage.pool.release("cadastro")
+        stage.settle()
+        after = two.call("cadastro", b"entry", unique=KEY)
+        stage.settle()
+        answers = [one.answers[first], two.answers[during], two.answers[after]]
+        self.assertEqual([(word, body) for word, _, body in answers], [("RESULT", b"cadastro|entry")] * 3)
+        self.assertEqual((len(stage.pool.spawned), stage.tally.faults()), (1, []))
+
+    def test_tries_read_in_one_turn_run_once(self) -> None:
+        stage = self.stage()
+        router = stage.router()
+        for _ in range(3):
+            router.call("cadastro", b"entry", unique=KEY)
+        stage.settle()
+        words = sorted(word for word, _, _ in router.answers.values())
+        self.assertEqual(len(stage.pool.spawned), 1)
+        self.assertEqual((words, stage.tally.faults()), (["REJECT", "REJECT", "RESULT"], []))
+
+    def test_a_try_that_ran_is_never_refused_nor_run_again(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["cadastro"].end = "bad"
+        router = stage.router()
+        tags = []
+        for _ in range(3):
+            tags.append(router.call("cadastro", b"entry", unique=KEY))
+            stage.settle()
+        self.assertEqual([router.answers[tag][0] for tag in tags], ["ABORTED"] * 3)
+        self.assertEqual(len(stage.pool.spawned), 1)
+
+    def test_a_key_stays_kept_when_its_router_is_gone(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["cadastro"].held = True
+        gone, there = stage.router("a"), stage.router("b")
+        gone.call("cadastro", b"entry", unique=KEY)
+        stage.spin(lambda: len(stage.pool.spawned) == 1)
+        gone.side.transport.abortConnection()  # type: ignore[union-attr]
+        stage.spin(lambda: stage.node.core.counters["given_up"] == 1)
+        stage.pool.release("cadastro")
+        tag = there.call("cadastro", b"entry", unique=KEY)
+        stage.spin(lambda: tag in there.answers)
+        self.assertEqual(there.answers[tag][2], b"cadastro|entry")
+        self.assertEqual(len(stage.pool.spawned), 1)
+
+    def test_a_call_is_repeated_only_if_it_never_ran(self) -> None:
+        for reply, handler, word, calls in [
+            ("declined", "cadastro", "RESULT", 2), ("over", "cadastro", "RESULT", 2),
+            ("failed", "cadastro", "ABORTED", 1), ("late", "cadastro", "ABORTED", 1),
+            ("break", "cadastro", "ABORTED", 1), ("failed", "busca", "RESULT", 2), ("break", "busca", "RESULT", 2),
+        ]:
+            with self.subTest(reply=reply, handler=handler):
+                stage = Stage(calls=1)
+                try:
+                    stage.acervo.script.append(reply)
+                    router = stage.router()
+                    tag = router.call(handler, unique=KEY)
+                    stage.settle()
+                    self.assertEqual((router.answers[tag][0], len(stage.acervo.calls)), (word, calls))
+                finally:
+                    stage.close()
+
+
+class Drain(OnStage):
+    def test_the_notice_to_leave(self) -> None:
+        stage = self.stage(stop_ms=2500)
+        stage.pool.plans["busca"].held = True
+        router, other = stage.router("a"), stage.router("b")
+        before = router.call("busca")
+        stage.spin(lambda: len(stage.pool.spawned) == 1)
+        stage.node.drain()
+        stage.spin(lambda: router.drained and other.drained)
+        stage.spin(lambda: stage.sink.reports[-1] == b"announce n1 false")
+        within = other.call("miniatura")  # crossed the drain: the grace is 300 ms
+        stage.spin(lambda: within in other.answers)
+        stage.spin(lambda: not stage.node.ports)
+        past = other.call("miniatura")
+        stage.spin(lambda: past in other.answers)
+        self.assertEqual(other.answers[within][0], "RESULT")
+        self.assertEqual(other.answers[past][0], "REJECT")
+        self.assertEqual(len(stage.pool.spawned), 2)
+        stage.spin(lambda: before in router.answers, 2.4)  # all is answered before the process is stopped
+        self.assertEqual(stage.tally.faults(), [])
+
+
+class Bounds(OnStage):
+    def test_back_pressure_past_the_open_requests_allowed(self) -> None:
+        stage = self.stage(cores=40, settings=site_settings(cores=40, memoryKb=0))
+        stage.pool.plans["busca"].held = True
+        router = stage.router()
+        for _ in range(40):
+            router.call("busca")
+        stage.spin(lambda: stage.node.core.counters["requests"] >= 32)
+        stage.spin_for(0.1)
+        self.assertEqual(stage.node.core.counters["requests"], 32)
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual(stage.tally.faults(), [])
+
+    def test_bad_input_harms_only_itself(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["busca"].held = True
+        bad, good = stage.router("bad"), stage.router("good")
+        frame, held = bad.frame, bad.call("busca")
+        for n, (raw, what) in enumerate([
+            (frame(b"CALL", b"101", b"louvre", b"txn=1"), "class"), (frame(b"HELLO", b"102"), "verb"),
+            (frame(b"CALL", b"103", b"busca", b"x" * 2000, b""), "over-long fields"),
+            (frame(b"CALL", b"104", b"busca", b"txn=", b"y" * 3000), "over-long body"),
+            (frame(b"CALL", b"105"), "short"), (frame(b"CHECK", b"106", b"probe"), "check"),
+        ]):
+            bad.tally.ask("bad", 101 + n, what)
+            bad.write(raw)
+        stage.spin(lambda: len(bad.answers) == 6)
+        self.assertEqual({word for word, _, _ in bad.answers.values()}, {"ABORTED"})
+        bad.tally.ask("bad", 200, "broken")
+        bad.write(b"*5\r\n$4\r\nCALL\r\n$3\r\n200\r\nGET / HTTP/1.1\r\n")
+        stage.spin(lambda: 200 in bad.answers)
+        stage.spin_for(0.05)
+        self.assertFalse(bad.closed, "what is open on it is still answered")
+        stage.pool.release("busca")
+        stage.spin(lambda: bad.closed)
+        self.assertEqual(bad.answers[held][0], "RESULT")
+        for raw in (frame(b"CALL", b"x", b"busca"), b"\0" * 100, frame(b"CALL", b"0", b"busca", b"")):
+            worse = stage.router("worse")
+            worse.write(raw)
+            stage.spin(lambda: worse.closed)  # noqa: B023
+        tag = good.call("busca")
+        stage.settle()
+        self.assertEqual((good.answers[tag][0], stage.tally.faults()), ("RESULT", []))
+        self.assertGreaterEqual(stage.node.core.counters["bad_frames"], 10)
+
+    def test_a_tag_in_use_closes_that_connection_only(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["busca"].held = True
+        router, other = stage.router("a"), stage.router("b")
+        tag = router.call("busca")
+        stage.spin(lambda: len(stage.pool.spawned) == 1)
+        router.write(router.frame(b"CALL", b"%d" % tag, b"busca", b""))
+        stage.spin_for(0.05)
+        self.assertEqual(router.answers, {})
+        stage.pool.release("busca")
+        stage.spin(lambda: router.closed)
+        self.assertEqual((router.answers[tag][0], other.closed), ("RESULT", False))
+        self.assertEqual(stage.tally.faults(), [])
+
+    def test_idle_connections_are_closed_and_checks_answered(self) -> None:
+        stage = self.stage()
+        router = stage.router()
+        check = router.check(True)
+        stage.settle()
+        self.assertEqual(router.answers[check][0], "READY")
+        stage.node.core.idle_ttl = 100_000
+        stage.spin(lambda: router.closed)
+
+
+class Program(unittest.TestCase):
+    """The command itself, in a process of its own."""
+
+    def start(self, config: Any, *args: str) -> subprocess.Popen[str]:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = os.path.join(folder.name, "config.json")
+        with open(path, "w") as file:
+            json.dump(config, file)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "lemonway", *args], stderr=subprocess.PIPE, text=True,
+            env=os.environ | {"EDGE_CONFIG": path, "EDGE_NAME": "", "EDGE_LISTEN": ""})
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def test_counters_and_a_clean_end(self) -> None:
+        config = {"name": "n1", "listen": "127.0.0.1:0", "pool": "127.0.0.1:1", "stop_ms": 1000,
+                  "settings": site_settings()}
+        process = self.start(config)
+        assert process.stderr is not None
+        self.assertIn("listens", process.stderr.readline())
+        process.send_signal(signal.SIGUSR1)
+        self.assertRegex(process.stderr.readline(), r"^counters .*fronts=0")
+        process.send_signal(signal.SIGTERM)
+        _, rest = process.communicate(timeout=10)
+        self.assertEqual(process.returncode, 0)
+        self.assertRegex(rest, r"counters .*open=0")
+
+    def test_a_bad_configuration_is_one_line_and_exit_2(self) -> None:
+        process = self.start({"name": "n1", "listen": "nowhere", "pool": "127.0.0.1:1", "settings": {}})
+        _, text = process.communicate(timeout=10)
+        self.assertEqual((process.returncode, text.count("\n")), (2, 1))
+        self.assertTrue(re.match(r"lemonway: listen: 'nowhere'", text))
+
+
+if __name__ == "__main__":
+    unittest.main()
