--- a/lemonway/kit/clients.py
+++ b/lemonway/kit/clients.py
@@ -59,7 +59,7 @@
         self.closed = self.drained = False
         self.answers: dict[int, tuple[str, dict[str, str], bytes]] = {}
         self.order: list[int] = []
-        self._tag = 0
+        self.tag = 0
         reactor.connectTCP("127.0.0.1", port, self, timeout=None)
 
     def buildProtocol(self, addr: Any) -> RouterSide:
@@ -75,8 +75,8 @@
 
     def call(self, handler: str, body: bytes = b"", age_ms: int = 0, **fields: str) -> int:
         """Send a request; gives its tag. ``fields`` replace or add to those that every request has."""
-        self._tag += 1
-        tag = self._tag
+        self.tag += 1
+        tag = self.tag
         said = {
             "txn": f"{id(self) & 0xffffffff:08x}{tag:08x}", "door": str(int(time.time() * 1000) - age_ms),
             "lb": "1", "ram": "30.0", "standing": "0.5000", **fields,
@@ -87,10 +87,10 @@
         return tag
 
     def check(self, deep: bool) -> int:
-        self._tag += 1
-        self.tally.ask(self.name, self._tag, "check")
-        self.write(self.frame(b"CHECK", b"%d" % self._tag, b"probe=%d" % deep))
-        return self._tag
+        self.tag += 1
+        self.tally.ask(self.name, self.tag, "check")
+        self.write(self.frame(b"CHECK", b"%d" % self.tag, b"probe=%d" % deep))
+        return self.tag
 
     def received(self, items: list[bytes]) -> None:
         tag, word = int(items[0]), items[1].decode()
