--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -38,13 +38,14 @@
     """A request in hand, from its reading to its end."""
 
     __slots__ = ("id", "lane", "kind", "tenant", "came", "due", "aim", "base", "kb", "retry", "state",
-                 "since", "spent", "answered", "keyed", "hinted", "ran", "rate", "pausing")
+                 "since", "spent", "answered", "keyed", "hinted", "ran", "rate", "pausing", "recall",
+                 "spacing")
 
     def __init__(self, e: Arrival, kind: api.Lane, came: float, due: float, aim: float, base: float) -> None:
         self.id, self.lane, self.kind, self.tenant, self.retry = e.id, e.lane, kind, e.tenant, e.retry
         self.came, self.due, self.aim, self.base, self.kb = came, due, aim, base, e.size_kb
         self.state = "held"  # held, running, paused, stalled (wants a call), calling, replaying
-        self.since = self.spent = self.rate = 0.0
+        self.since = self.spent = self.rate = self.recall = self.spacing = 0.0
         self.answered = self.ran = self.pausing = False
         self.keyed, self.hinted = kind.effect is Effect.KEYED, e.work is not None
 
@@ -378,6 +379,9 @@
         j.state, j.since = "running" if e.outcome is Outcome.OK else "stalled", self.now
         if e.outcome is Outcome.TIMED_OUT:
             self.lingering.append(self.now + self.s.call_linger)
+        # Guards against calling a declining tier as fast as it can answer: the first new call goes out at
+        # once, later ones after a tick, two, four, up to a sweep. Harm: late where the tier has recovered.
+        j.recall, j.spacing = self.now + j.spacing, min(SAMPLE, max(self.s.tick, 2.0 * j.spacing))
         known = e.outcome in (Outcome.OK, Outcome.TURNED_AWAY, Outcome.UNREACHABLE, Outcome.MOOT)
         if e.outcome is not Outcome.OK and j.kind.skip_worth > 0:
             self.skip(j)
@@ -399,7 +403,7 @@
         self.calls_at = self.now
         share = self.s.call_share if self.s.call_share > 0 else self.s.cores * self.s.crowd
         for j in stalled:
-            if j.answered:
+            if j.answered or self.now < j.recall:
                 continue
             if busy < max(1.0, share) and self.calls_mean < share:
                 self.out.append(api.Call(j.id, max(self.s.tick, j.due - self.now - SAMPLE)))
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -187,6 +187,7 @@
             return
         record.call, record.supplied = body, None
         if record.answered:  # its run ends here; nobody needs the call
+            record.suspended = True
             self.pool.suspend(txn)
         self._inbox.append(api.CallNeeded(record.ident))
 
@@ -404,6 +405,7 @@
         if record.call is not None and record.running:
             # An answered request ends at its call: its core and memory come free.
             self._hang_up(record)
+            record.suspended = True
             self.pool.suspend(record.inc.txn)
 
     def _send(self, inc: Incoming, answer: Answer) -> None:
--- a/tests/test_site_symptoms.py
+++ b/tests/test_site_symptoms.py
@@ -5,7 +5,7 @@
 import unittest
 
 from lemonway import Policy, Settings
-from lemonway.interface import Admit, Arrival, CallEnded, CallNeeded, Finished, Lane, Outcome, Refuse, Woken
+from lemonway.interface import Admit, Arrival, Call, CallEnded, CallNeeded, Finished, Lane, Outcome, Refuse, Woken
 
 LANE = Lane("read", aim=1000.0, deadline=4000.0, calls=True)
 
@@ -23,6 +23,24 @@
         self.assertTrue(any(isinstance(a, Refuse) and a.retry_after > 0 for a in actions))
 
 
+class Calls(unittest.TestCase):
+    def test_a_tier_that_declines_is_not_called_in_a_loop(self) -> None:
+        """On sockets a decline comes back within a millisecond: calling at once would take the whole core."""
+        policy = Policy(Settings(lanes=[LANE], cores=2, crowd=6.0), 1)
+        policy.step(0.0, [Arrival(1, work=10.0)])
+        first = policy.step(10.0, [CallNeeded(1)])
+        self.assertTrue(any(isinstance(a, Call) for a in first))
+        calls, now = 0, 10.0
+        while now < 1010.0:  # each call is declined a millisecond later
+            now += 1.0
+            actions = policy.step(now, [CallEnded(1, Outcome.TURNED_AWAY, 1.0)])
+            while not any(isinstance(a, Call) for a in actions) and now < 1010.0:
+                now += 1.0
+                actions = policy.step(now, [])
+            calls += 1
+        self.assertLess(calls, 30)
+
+
 class Hints(unittest.TestCase):
     def test_a_server_that_is_not_full_runs_what_looks_too_long(self) -> None:
         """One in fifty requests was turned away unrun on a fleet with free cores, the large ones above all."""
