Keep a fault in one turn from stopping the loop; repeat replies lost with a link

Seen by reading the code against a list of what may fail, each then shown by a test that fails without the change: - Turns._end left the turn open if a timer, the step or a flush raised: begin() would then do nothing for good and no answer would go out again. Each part is guarded now, counted as loop_faults. - relinked() repeated a reply only within 2 s of it, whatever the link did: with a link down for longer, the run waited until its due time. It is repeated now if given while there was no link or up to 1 s before it broke. - An address in use was a traceback with a program left running that listened nowhere: now one line and exit 2. - A keyed try whose key had run could be refused when the table was full; it fails now. - uwsgi connections were counted twice against the routers' bound.

--- a/lemonway/kit/stage.py
+++ b/lemonway/kit/stage.py
@@ -93,6 +93,7 @@
         self.settings: Settings = config.settings
         site = None if uwsgi is None else read_site(uwsgi, config.settings)
         self.node = Node(config, reactor, site)
+        self.node.listen()
         self.node.start()
         self.port: int = self.node.ports[0].getHost().port
         self.uwsgi_port: int = self.node.ports[1].getHost().port if site is not None else 0
--- a/lemonway/net/program/config.py
+++ b/lemonway/net/program/config.py
@@ -70,6 +70,8 @@
         settings = read_settings(flatten(raw["settings"]))
     except ValueError as error:  # it names the path
         raise ConfigError(str(error)) from None
+    except OverflowError as error:
+        raise ConfigError(f"settings: {error}") from None
     return Config(
         name=name,
         listen=parse_address("listen", environ.get("EDGE_LISTEN") or raw.get("listen")),
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -9,6 +9,7 @@
 import sys
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ServerFactory
 
 from ..protocol.announce import AnnounceClient
@@ -66,20 +67,22 @@
             self.announcer = AnnounceClient(reactor, config.name, config.announce.host, config.announce.port)
             self.core.announcer = self.announcer
         self.uwsgi = None if site is None else UwsgiFront(self.turns, self.core, site)
-        taken = SPARE_SOCKETS + (0 if site is None else site.max_connections)
-        self.routers = RouterFactory(self.turns, self.core, max(16, config.sockets - taken))
+        # Both fronts' connections count; the uwsgi front has a bound of its own, so the routers keep the rest.
+        self.routers = RouterFactory(self.turns, self.core, max(16, config.sockets - SPARE_SOCKETS))
         self.ports: list[Any] = []
         self.grace_until = self.stop_by = 0
         self.ended = False
 
-    def start(self) -> None:
-        if self.announcer is not None:
-            self.announcer.start()
+    def listen(self) -> None:
         self.ports.append(self.reactor.listenTCP(
             self.config.listen.port, self.routers, backlog=512, interface=self.config.listen.host))
         if self.uwsgi is not None:
             site = self.uwsgi.site
             self.ports.append(self.reactor.listenTCP(site.port, self.uwsgi, backlog=256, interface=site.host))
+
+    def start(self) -> None:
+        if self.announcer is not None:
+            self.announcer.start()
         self.core.start()
         self.pool.start()
         self.turns.after(SWEEP, self.sweep)
@@ -143,6 +146,7 @@
     def print_counters(self) -> None:
         shown = dict(sorted(self.core.counters.items()))
         shown["open"] = sum(not r.answered for r in self.core.records.values())
+        shown["loop_faults"] = self.turns.faults
         shown["fronts"] = len(self.core.fronts)
         print("counters " + " ".join(f"{name}={value}" for name, value in shown.items()), file=sys.stderr,
               flush=True)
@@ -153,6 +157,12 @@
 
     loop: Any = reactor
     node = Node(config, loop, site)
+    try:
+        node.listen()
+    except CannotListenError as error:
+        key = "listen" if not node.ports else "uwsgi.listen"
+        print(f"lemonway: {key}: {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
+        return 2
     loop.callWhenRunning(node.start)
     for number, call in ((signal.SIGTERM, node.drain), (signal.SIGINT, node.drain),
                          (signal.SIGUSR1, node.print_counters)):
--- a/lemonway/net/protocol/pool.py
+++ b/lemonway/net/protocol/pool.py
@@ -14,8 +14,8 @@
 from ..transport.clock import Turns
 from ..transport.connection import Connection
 
-BLOCK_MOST = 64 * 1024
-INBOUND = 128 * 1024
+BLOCK_MOST = 16 * 1024  # results are at most 4 KiB, calls a fraction of that
+INBOUND = 64 * 1024
 OUTBOUND = 4 * 1024 * 1024  # commands for a pool that stands still; past it the link is made anew
 RETRY = 20_000  # between tries to link
 BIND_WAIT = 2_000_000
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -28,7 +28,8 @@
 ANNOUNCE = 700_000  # between reports: an entry lapses after 3 s
 STOP_MARGIN = 250  # ms before the kill by which everything is answered
 OPEN_MOST = 4096  # requests in hand; with 2 KiB bodies they stay under 16 MB
-KEYS_MOST = 4096
+KEYS_MOST = 2048  # with results of at most 16 KiB they stay under 32 MB
+DOUBT = 1_000_000  # what was written so long before a link broke may not have arrived
 FORGOTTEN = 60_000_000  # a run whose end never came is struck off so long after its request fell due
 
 
@@ -64,13 +65,13 @@
         self.good, self.stored, self.draining, self.linked = True, False, False, False
         self.feedback: float | None = None
         self.idle_ttl = int(settings.caller_idle * 1000)
-        self._last = 0
+        self._last = self._lost_at = 0
         self._inbox: list[Record | api.Event] = []
         self._dues: list[tuple[int, int]] = []
         self._waiting: dict[int, list[Record]] = {}  # a try: the repeats that wait for its result
         self._gauges: tuple[float, ...] = ()
         self._polling: int | None = None
-        self._polls = 0
+        self._polls = self._beats = 0
         self._checks: dict[str, tuple[Front, int]] = {}
         self._do: dict[type, Callable[[Any], None]] = {
             api.Admit: self._admit, api.Refuse: self._refuse, api.Fail: self._fail, api.Suspend: self._suspend,
@@ -97,7 +98,8 @@
             return 0
         if len(self.records) >= OPEN_MOST or (keyed and len(self.kept) >= KEYS_MOST):
             self.counters["table_full"] += 1
-            self._send(inc, Answer(Verdict.REFUSED))
+            ran = keyed and self.kept.source(inc.lane, inc.unique)
+            self._send(inc, Answer(Verdict.FAILED if ran else Verdict.REFUSED))  # what ran is never refused
             return 0
         now = self.clock.now
         inc.came = min(inc.came, now)
@@ -148,16 +150,16 @@
             self.announcer.announce(self.healthy)
 
     def link_lost(self) -> None:
-        self.linked = False
+        self.linked, self._lost_at = False, self.clock.now
         self.counters["links_lost"] += 1
 
     def relinked(self) -> None:
         """All notices of the time without a link are read: say again what may not have arrived. A run that was
-        started already is not started twice by this; a reply is repeated only if the old link broke soon after
-        it, since a run that has moved on to its next call would take it for that one's."""
+        started already is not started twice by this; a reply is repeated only if it was given while there was no
+        link or shortly before, since a run that has moved on to its next call would take it for that one's."""
         for record in [r for r in self.records.values() if r.running]:
             self.pool.spawn(record.inc.txn, self.settings.lanes[record.inc.lane].name, record.inc.body)
-            if record.supplied is not None and self.clock.now - record.supplied_at < 2_000_000:
+            if record.supplied is not None and record.supplied_at > self._lost_at - DOUBT:
                 self.pool.supply(record.inc.txn, record.supplied)
             if record.suspended:
                 self.pool.suspend(record.inc.txn)
@@ -264,7 +266,11 @@
 
     def _apply(self, actions: list[api.Action]) -> None:
         for action in actions:
-            self._do[type(action)](action)
+            try:
+                self._do[type(action)](action)
+            except Exception:  # the other actions of the step still count
+                self.counters["action_faults"] += 1
+                log.exception("%s failed", action)
 
     def _arrival(self, record: Record) -> api.Event:
         inc = record.inc
@@ -277,14 +283,14 @@
 
     def _beat(self) -> None:
         self.turns.after(BEAT, self._beat)
-        if self.counters["beats"] % 40 == 0:
+        if self._beats % 40 == 0:
             self.kept.purge()
             late = self.clock.now - FORGOTTEN
             for record in [r for r in self.records.values() if r.answered and r.due < late]:
                 self._inbox.append(api.Finished(record.ident, 0.0, Outcome.CANCELLED))
                 record.running = False
                 self._settle(record)
-        self.counters["beats"] += 1
+        self._beats += 1
 
     def _report(self) -> None:
         self.clock.align()
@@ -326,6 +332,7 @@
         record = self.records.get(a.id)
         if record is not None and record.running:
             record.suspended = True
+            self.counters["suspended"] += 1
             self._hang_up(record)
             self.pool.suspend(record.inc.txn)
 
--- a/lemonway/net/transport/clock.py
+++ b/lemonway/net/transport/clock.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import Any, Protocol
 
+log = logging.getLogger(__name__)
+
 Timed = Callable[[], None]
 
 
@@ -52,6 +55,7 @@
         self._alarm: Any = None
         self._alarm_at = 0
         self._dirty: dict[Flushable, None] = {}
+        self.faults = 0
 
     def begin(self) -> None:
         """Called by whatever the loop wakes: the first call of a turn reads the clock."""
@@ -83,18 +87,28 @@
         self.begin()
 
     def _end(self) -> None:
-        heap, now = self._heap, self.clock.now
+        heap, now, again = self._heap, self.clock.now, False
         while heap and heap[0][0] <= now:
-            heappop(heap)[2]()
-        again = self.step()
+            self._guarded(heappop(heap)[2])
+        again = self._guarded(self.step) is True
         dirty, self._dirty = self._dirty, {}
         for connection in dirty:
-            connection.flush()
+            self._guarded(connection.flush)
         self._open = False
         if again or self._dirty:
             self.begin()
         self._arm()
 
+    def _guarded(self, call: Callable[[], Any]) -> Any:
+        """Guards the loop: a fault in one part may neither keep the others from their turn nor leave the turn
+        open, which would stop the node for good."""
+        try:
+            return call()
+        except Exception:
+            self.faults += 1
+            log.exception("a fault in a turn of the loop")
+            return None
+
     def _arm(self) -> None:
         if not self._heap:
             return
@@ -104,7 +118,7 @@
                 return
             self._alarm.cancel()
         # The heap's head moves a few times a second, not with each request: one delayed call is enough.
-        delay = max(0, at - time.monotonic_ns() // 1000) / 1e6
+        delay = max(0, at - self.clock.now) / 1e6
         self._alarm_at, self._alarm = at, self.reactor.callLater(delay, self._ring)
 
     def _ring(self) -> None:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
 import unittest
 from typing import Any
 
@@ -212,6 +214,29 @@
             self.assertEqual(site.tenant_of(host), tenant, host)
 
 
+class Noise(unittest.TestCase):
+    def test_whatever_comes_only_the_parsers_own_error_is_raised(self) -> None:
+        """Guards the node: an exception of any other kind would end in the reactor's log."""
+        draw = random.Random(7)
+        frame = resp.encode(b"CALL", b"7", b"busca", b"txn=9b1f03aa5c7e2d41,door=1764576000123", b"body")
+        seeds = [
+            (frame, feed, resp.RespError), (b"finished 4 9b1f good 12.5 96", pool.parse_notice, pool.PoolError),
+            (b"polled t 0.5 3 0.1 8", pool.parse_notice, pool.PoolError),
+            (b"\4\0PATH\1\0/\1\0a\2\0bc", uwsgi.parse_vars, uwsgi.UwsgiError),
+            (b"HTTP/1.1 200 OK", lambda line: catalogue.ReplyReader().line(line), catalogue.ReplyError),
+            (b"a=1,b=2", resp.read_fields, resp.FieldError),
+        ]
+        for seed, parse, error in seeds:
+            for _ in range(400):
+                data = bytearray(seed)
+                for _ in range(draw.randrange(1, 4)):
+                    at = draw.randrange(len(data))
+                    data[at : at + draw.randrange(3)] = draw.randbytes(draw.randrange(3))
+                    data = data or bytearray(b"x")
+                with contextlib.suppress(error):
+                    parse(bytes(data))
+
+
 class Configuration(unittest.TestCase):
     def test_the_environment_goes_first(self) -> None:
         got = read_config(CONFIG, {"EDGE_NAME": "n9", "EDGE_LISTEN": "127.0.0.9:99"})
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -6,10 +6,12 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import unittest
+import unittest.mock
 from typing import Any
 
 from lemonway.kit.stage import Stage, site_settings
@@ -77,6 +79,20 @@
         self.assertEqual([router.answers[tag][0] for tag in tags], ["RESULT"] * 5)
         self.assertEqual((stage.tally.faults(), len(stage.pool.binds)), ([], 2))
 
+    def test_a_reply_that_falls_between_two_links_is_given_again(self) -> None:
+        stage = self.stage(calls=1)
+        stage.acervo.seconds = 0.1
+        router = stage.router()
+        tag = router.call("busca")
+        stage.spin(lambda: len(stage.acervo.calls) == 1)
+        stage.pool.up = False  # the link is taken, but bound only much later
+        stage.pool.cut()
+        stage.spin(lambda: stage.node.core.counters["calls_ok"] == 1)
+        stage.spin_for(1.2)
+        stage.pool.come_up()
+        stage.settle()
+        self.assertEqual((router.answers[tag][0], len(stage.acervo.calls)), ("RESULT", 1))
+
     def test_bound_long_after_the_start_and_cold(self) -> None:
         stage = self.stage(pool_up=False)
         router = stage.router()
@@ -248,6 +264,27 @@
         self.assertEqual((good.answers[tag][0], stage.tally.faults()), ("RESULT", []))
         self.assertGreaterEqual(stage.node.core.counters["bad_frames"], 10)
 
+    def test_connections_past_the_bound_are_closed_unread(self) -> None:
+        stage = self.stage()
+        stage.node.routers.most = 2
+        kept, over = [stage.router(str(n)) for n in range(2)], stage.router("over")
+        stage.spin(lambda: over.closed)
+        tags = [(client, client.call("busca")) for client in kept]
+        stage.settle()
+        self.assertEqual([client.answers[tag][0] for client, tag in tags], ["RESULT"] * 2)
+        self.assertEqual(stage.node.core.counters["connections_over"], 1)
+
+    def test_a_full_table_refuses_and_the_rest_goes_on(self) -> None:
+        stage = self.stage()
+        with unittest.mock.patch("lemonway.net.routing.core.OPEN_MOST", 2):
+            stage.pool.plans["busca"].held = True
+            router = stage.router()
+            tags = [router.call("busca") for _ in range(3)]
+            stage.spin(lambda: tags[2] in router.answers)
+            stage.pool.release("busca")
+            stage.settle()
+        self.assertEqual([router.answers[tag][0] for tag in tags], ["RESULT", "RESULT", "REJECT"])
+
     def test_a_tag_in_use_closes_that_connection_only(self) -> None:
         stage = self.stage()
         stage.pool.plans["busca"].held = True
@@ -272,6 +309,34 @@
         stage.spin(lambda: router.closed)
 
 
+class Faults(OnStage):
+    def test_a_fault_in_a_turn_does_not_stop_the_node(self) -> None:
+        """Guards `Turns`: a turn left open by an exception would never end, and no answer would go out again."""
+        stage = self.stage()
+
+        def fail() -> None:
+            raise RuntimeError("made by the test")
+
+        with self.assertLogs("lemonway", "ERROR"):
+            stage.node.turns.after(0, fail)
+            stage.spin(lambda: stage.node.turns.faults == 1)
+        policy = stage.node.core.policy
+        assert policy is not None
+        stage.router().call("busca")
+        stage.settle()
+        kept, policy.step = policy.step, lambda now, events: fail() or []  # type: ignore[method-assign, func-returns-value]
+        router = stage.router("other")
+        with self.assertLogs("lemonway", "ERROR"):
+            tag = router.call("busca", age_ms=2900)
+            stage.spin(lambda: tag in router.answers, 1.0)
+        policy.step = kept  # type: ignore[method-assign]
+        self.assertEqual(router.answers[tag][0], "ABORTED")
+        after = router.call("busca")
+        stage.settle()
+        self.assertEqual((router.answers[after][0], stage.tally.faults()), ("RESULT", []))
+        stage.node.core.counters["brain_faults"] = 0
+
+
 class Program(unittest.TestCase):
     """The command itself, in a process of its own."""
 
@@ -307,6 +372,14 @@
         self.assertEqual((process.returncode, text.count("\n")), (2, 1))
         self.assertTrue(re.match(r"lemonway: listen: 'nowhere'", text))
 
+    def test_an_address_in_use_is_one_line_and_exit_2(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            listen = f"127.0.0.1:{taken.getsockname()[1]}"
+            process = self.start({"name": "n1", "listen": listen, "pool": "127.0.0.1:1", "settings": site_settings()})
+            _, text = process.communicate(timeout=10)
+        self.assertEqual((process.returncode, text.count("\n")), (2, 1))
+        self.assertTrue(text.startswith(f"lemonway: listen: {listen}"), text)
+
 
 if __name__ == "__main__":
     unittest.main()
