--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -19,6 +19,7 @@
 TAG_MOST = 2**53
 INBOUND = 48 * 1024  # one read and the start of a frame
 OUTBOUND = 256 * 1024  # 32 results of 4 KiB and their fields, twice over
+FIRST_WAIT = 1_000_000  # a connection that has carried nothing yet stays at least so long
 DOOR_MOST = 2**43  # Unix milliseconds, some centuries on
 
 _TXN = re.compile(rb"[0-9a-f]{16}\Z")
@@ -186,6 +187,7 @@
         self.open: dict[int, int] = {}  # tag: the core's number of the request (0 = being handed in)
         self.checks = 0
         self.drained = self.broken = False
+        self.fresh = True  # no request has come yet
         self.used = turns.clock.now
 
     def opened(self) -> None:
@@ -224,7 +226,7 @@
     def take(self, items: list[bytes]) -> None:
         """A whole frame. One that makes no sense gets a failure word if its tag can be answered; else only this
         connection is closed."""
-        self.used = self.turns.clock.now
+        self.used, self.fresh = self.turns.clock.now, False
         tag = self.tag_of(items)
         if tag < 0 or tag in self.open:
             self.refuse_more()
@@ -304,7 +306,10 @@
             self.send(encode(b"0", b"DRAIN"))
 
     def close_if_idle(self, edge: int) -> None:
-        """Closed if nothing is open and nothing has passed since ``edge``."""
+        """Closed if nothing is open and nothing has passed since ``edge``. The brain may want idle connections
+        gone within 10 ms: one just opened is spared, its first request is on the way."""
+        if self.fresh:
+            edge = min(edge, self.turns.clock.now - FIRST_WAIT)
         if not self.open and not self.checks and not len(self.inbound) and self.used < edge:
             self.desk.counters["closed_idle"] += 1
             self.close()
