Stop a second run of a key in the core itself; wake the brain after a fault

The core now gives it a wake-up of its own, and logs only the first 20 faults in full. - The one run of a key rested on the brain alone. The core now answers an admitted try from the one that ran, counted as second_runs_stopped, and a run's entry lives to the end of its window whether it was kept or not.

--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -30,6 +30,7 @@
 OPEN_MOST = 4096  # requests in hand; with 2 KiB bodies they stay under 16 MB
 KEYS_MOST = 2048  # with results of at most 16 KiB they stay under 32 MB
 DOUBT = 1_000_000  # what was written so long before a link broke may not have arrived
+FAULTS_SHOWN = 20  # faults of the brain that are logged in full
 FORGOTTEN = 60_000_000  # a run whose end never came is struck off so long after its request fell due
 
 
@@ -258,8 +259,10 @@
             actions = self.policy.step(now / 1000, events)
         except Exception:  # a fault of the brain may not stop the node: the guard answers what it left
             self.counters["brain_faults"] += 1
-            log.exception("the brain failed on %d events", len(events))
-            self.turns.after(BEAT, lambda: self._woken(1))
+            if self.counters["brain_faults"] <= FAULTS_SHOWN:
+                log.exception("the brain failed on %d events", len(events))
+            # Its own wake-up may have been among what it lost: without another it would sweep no more.
+            self.turns.after(BEAT, lambda: self._inbox.append(api.Woken(1, self._gauges)))
             return False
         self._apply(actions)
         return bool(self._inbox)
@@ -307,10 +310,16 @@
             return
         if record.running:
             return
-        record.running = True
-        lane = self.settings.lanes[record.inc.lane]
+        lane, inc = self.settings.lanes[record.inc.lane], record.inc
         if lane.effect is Effect.KEYED:
-            self.kept.ran(record.inc.lane, record.inc.unique, record.ident)
+            if self.kept.source(inc.lane, inc.unique) not in (0, record.ident):
+                # Guards the one run of a key, whatever the brain believes: another try of it has run.
+                self.counters["second_runs_stopped"] += 1
+                self._replay(api.Replay(a.id))
+                return
+            until = inc.came + int((lane.memory_span + self.settings.tick) * 1000)
+            self.kept.ran(inc.lane, inc.unique, record.ident, until)
+        record.running = True
         self.counters["spawned"] += 1
         self.pool.spawn(record.inc.txn, lane.name, record.inc.body)
 
--- a/lemonway/net/routing/kept.py
+++ b/lemonway/net/routing/kept.py
@@ -52,10 +52,13 @@
         if key is not None and entry is not None and entry.holder == ident and not entry.ran:
             self._drop(key, entry)
 
-    def ran(self, lane: int, unique: str, ident: int) -> None:
-        if entry := self._entries.get((lane, unique)):
-            entry.ran = ident
-            self._keys[ident] = (lane, unique)
+    def ran(self, lane: int, unique: str, ident: int, until: int) -> None:
+        """A try runs: its entry lives to the end of its window, kept or not."""
+        entry = self._entries.get((lane, unique))
+        if entry is None:
+            entry = self._entries[(lane, unique)] = Entry(ident, 0, self._clock.now)
+        entry.ran, entry.until = ident, max(entry.until, until)
+        self._keys[ident] = (lane, unique)
 
     def ended(self, ident: int, good: bool, body: bytes) -> None:
         key = self._keys.get(ident)
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -147,6 +147,18 @@
         self.assertEqual([router.answers[tag][0] for tag in tags], ["ABORTED"] * 3)
         self.assertEqual(len(stage.pool.spawned), 1)
 
+    def test_a_brain_that_would_run_a_key_twice_is_overruled(self) -> None:
+        """Guards the core's own check: here the brain is told of no repeat at all."""
+        stage = self.stage()
+        router = stage.router()
+        first = router.call("cadastro", b"entry", unique=KEY)
+        stage.settle()
+        with unittest.mock.patch.object(stage.node.core.kept, "earlier", lambda *_: 0):
+            again = router.call("cadastro", b"entry", unique=KEY)
+            stage.settle()
+        self.assertEqual(router.answers[first][::2], router.answers[again][::2])
+        self.assertEqual(len(stage.pool.spawned), 1)
+
     def test_a_key_stays_kept_when_its_router_is_gone(self) -> None:
         stage = self.stage()
         stage.pool.plans["cadastro"].held = True
@@ -328,7 +340,8 @@
         assert policy is not None
         stage.router().call("busca")
         stage.settle()
-        kept, policy.step = policy.step, lambda now, events: fail() or []  # type: ignore[method-assign, func-returns-value]
+        kept = policy.step
+        policy.step = lambda now, events: fail() or []  # type: ignore[method-assign, func-returns-value]
         router = stage.router("other")
         with self.assertLogs("lemonway", "ERROR"):
             tag = router.call("busca", age_ms=2900)
