Test the catalogue's refused, idle and endless calls; run what the due-time test is about

The test of a pool that falls silent sent a request already past its aim: it was refused unrun, so the test showed nothing of a late end. It is run now, and its end comes after its answer.

--- a/lemonway/net/protocol/pool.py
+++ b/lemonway/net/protocol/pool.py
@@ -18,7 +18,6 @@
 INBOUND = 64 * 1024
 OUTBOUND = 4 * 1024 * 1024  # commands for a pool that stands still; past it the link is made anew
 RETRY = 20_000  # between tries to link
-BIND_WAIT = 2_000_000
 
 ENDS = {b"good": Outcome.OK, b"bad": Outcome.ERROR, b"cut": Outcome.CANCELLED, b"gone": Outcome.MOOT}
 _WHOLE = re.compile(rb"[0-9]{1,15}\Z")
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -58,8 +58,9 @@
         stage = self.stage()
         stage.pool.silent = True
         router = stage.router()
-        tag = router.call("busca", age_ms=2800)
-        stage.spin(lambda: tag in router.answers, 1.0)
+        tag = router.call("busca", age_ms=1500)  # not past its aim: it is run, and its end never told
+        stage.spin(lambda: tag in router.answers, 1.65)
+        self.assertEqual((len(stage.pool.spawned), router.answers[tag][0] != "RESULT"), (1, True))
         stage.pool.silent = False
         stage.pool.cut()  # the notice that was never sent comes over the new link: late, and dropped
         stage.spin(lambda: len(stage.pool.binds) == 2)
@@ -191,6 +192,45 @@
                     stage.close()
 
 
+class Calls(OnStage):
+    def test_a_refused_connection_proves_that_no_call_ran(self) -> None:
+        stage = self.stage(calls=1)
+        port = stage.ports[1].getHost().port
+        stage.ports[1].stopListening()
+        stage.reactor.iterate(0)
+        router = stage.router()
+        tag = router.call("cadastro", unique=KEY)
+        stage.spin(lambda: stage.node.core.counters["calls_unreachable"] >= 2)
+        stage.ports[1] = stage.reactor.listenTCP(port, stage.acervo, interface="127.0.0.1")
+        stage.settle()
+        self.assertEqual((router.answers[tag][0], len(stage.acervo.calls)), ("RESULT", 1))
+
+    def test_a_connection_near_its_idle_close_is_not_used_again(self) -> None:
+        stage = self.stage(calls=1)
+        router, client = stage.router(), stage.node.catalogue
+        assert client is not None
+        for _ in range(2):
+            router.call("busca")
+            stage.settle()
+        [used] = client.idle
+        self.assertEqual(client.count, 1, "one connection carries one call after the other")
+        used.used -= 6_000_000
+        router.call("busca")
+        stage.settle()
+        self.assertNotIn(used, client.idle)
+        self.assertEqual(stage.tally.table()[("resp", "busca")], {"RESULT": 3})
+
+    def test_a_call_that_never_ends_is_closed_and_its_request_answered_in_time(self) -> None:
+        stage = self.stage(calls=1)
+        stage.acervo.script.append("silent")
+        router = stage.router()
+        tag = router.call("cadastro", age_ms=1500, unique=KEY)
+        stage.spin(lambda: tag in router.answers, 1.6)
+        self.assertEqual(router.answers[tag][0], "ABORTED")
+        self.assertLess(stage.acervo.patiences[0], 1500)
+        stage.spin(lambda: stage.acervo.open == 0)
+
+
 class Drain(OnStage):
     def test_the_notice_to_leave(self) -> None:
         stage = self.stage(stop_ms=2500)
