Move the links to new addresses on SIGHUP; say again only commands that may be lost

Now: SIGHUP reads the file again in program (load_config, reload.carried_over) and each link has a readdress. The pool's link in use serves until the new one is up; calls on the wire end on their old connection, which is not used again. A bad file is logged with its key and changes nothing.

Also at fault, found while reading the relink: Core.relinked said every spawn again after a break, and every reply of the last second. A run that ends between the resync and its repeated spawn would be started twice, and a run that has moved on to its next call would take the repeated reply for that one's. A poll that was answered proves what was said before it; only what came after it, or in the last 100 ms before the break, is said again, outstanding deep checks included. Gauges older than 250 ms are no longer shown to the brain as new. A report every 250 ms: at 700 ms one lost in four made a lapse of 3 s a matter of four losses in a row.

--- a/lemonway/kit/pool.py
+++ b/lemonway/kit/pool.py
@@ -84,8 +84,10 @@
         self.runs: dict[str, Run] = {}
         self.spawned: list[str] = []  # in order, repeats of a spawn included
         self.suspended: list[str] = []
+        self.supplied: list[str] = []  # in order, replies that no run waited for included
         self.verify_end = "good"
         self.silent = False  # takes commands in and says nothing
+        self.deaf = False  # loses the commands that come; over with the next link
         self._queue: deque[Run] = deque()
         self._notices: deque[tuple[int, bytes]] = deque(maxlen=KEPT)
         self._serial = 0
@@ -114,10 +116,12 @@
 
     def command(self, link: PoolSide, name: str, words: list[str], body: bytes) -> None:
         if name == "bind":
-            self.link = link
+            self.link, self.deaf = link, False
             self.binds.append(int(words[0]))
             if self.up:
                 self._bound(link, int(words[0]))
+        elif self.deaf:
+            return
         elif name == "spawn":
             self._spawn(words[0], words[1], body)
         elif name == "suspend":
@@ -177,6 +181,7 @@
             self._finish(run, self.plans[run.handler].end)
 
     def _supply(self, txn: str, body: bytes) -> None:
+        self.supplied.append(txn)
         run = self.runs.get(txn)
         if run is None or run.state != "blocked":
             if self.link is not None:
--- a/lemonway/kit/stage.py
+++ b/lemonway/kit/stage.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from ..interface import Settings
-from ..net.program.config import read_config
+from ..net.program.config import Config, read_config
 from ..net.program.node import Node
 from ..net.program.uwsgi_site import read_site
 from .acervo import StandInAcervo
@@ -25,8 +25,8 @@
 
 
 class AnnounceSink(DatagramProtocol):
-    def __init__(self) -> None:
-        self.reports: list[bytes] = []
+    def __init__(self, reports: list[bytes] | None = None) -> None:
+        self.reports: list[bytes] = [] if reports is None else reports
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         self.reports.append(datagram)
@@ -73,6 +73,7 @@
     def __init__(
         self, *, settings: dict[str, Any] | None = None, uwsgi: dict[str, Any] | None = None, pool_up: bool = True,
         catalogue: bool = True, stop_ms: float = 3000.0, cores: int = 6, calls: int = 0,
+        limits: dict[str, Any] | None = None,
     ) -> None:
         from twisted.internet import reactor
 
@@ -82,14 +83,13 @@
         for name in ("miniatura", "visualizador", "busca", "cadastro"):
             self.pool.plans[name] = Plan(calls)
         self.sink = AnnounceSink()
-        self.ports = [self.listen(self.pool), self.listen(self.acervo),
-                      self.reactor.listenUDP(0, self.sink, interface="127.0.0.1")]
-        pool, acervo, sink = (f"127.0.0.1:{port.getHost().port}" for port in self.ports)
-        config = read_config({
-            "name": "n1", "listen": "127.0.0.1:0", "pool": pool, "announce": sink, "seed": "8c1f30d27a5be964",
-            "catalog": acervo if catalogue else None, "stop_ms": stop_ms,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings or site_settings(),
-        }, {})
+        self.raw: dict[str, Any] = {
+            "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": stop_ms,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **(limits or {})},
+            "settings": settings or site_settings(),
+        }
+        self.ports: list[Any] = []
+        config = self.open(catalogue)
         self.settings: Settings = config.settings
         site = None if uwsgi is None else read_site(uwsgi, config.settings)
         self.node = Node(config, reactor, site)
@@ -100,6 +100,18 @@
         if pool_up:
             self.spin(lambda: self.node.core.healthy)
 
+    def open(self, catalogue: bool = True) -> Config:
+        """Have the stand-ins listen on new ports, and on no others; gives the configuration that names them."""
+        self.sink = AnnounceSink(self.sink.reports)  # a datagram protocol listens once
+        old, self.ports = self.ports, [
+            self.listen(self.pool), self.listen(self.acervo),
+            self.reactor.listenUDP(0, self.sink, interface="127.0.0.1")]
+        for port in old:
+            port.stopListening()
+        pool, acervo, sink = (f"127.0.0.1:{port.getHost().port}" for port in self.ports)
+        self.raw |= {"pool": pool, "catalog": acervo if catalogue else None, "announce": sink}
+        return read_config(self.raw, {})
+
     def listen(self, factory: Any) -> Any:
         return self.reactor.listenTCP(0, factory, interface="127.0.0.1")
 
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -20,7 +20,8 @@
 from ..routing.core import Core
 from ..transport.clock import Clock, Turns
 from ..transport.connection import Connection
-from .config import Config
+from .config import Config, ConfigError, load_config
+from .reload import carried_over
 
 log = logging.getLogger(__name__)
 
@@ -99,6 +100,56 @@
         if self.catalogue is not None:
             self.catalogue.close_idle()
 
+    # a new configuration
+
+    def reload(self) -> None:
+        """SIGHUP: read the file again. One that makes no sense changes nothing."""
+        self.turns.begin()
+        try:
+            fresh = load_config(os.environ)
+        except ConfigError as error:
+            self.core.counters["bad_reloads"] += 1
+            log.error("SIGHUP: %s; the old configuration is kept", error)
+            return
+        self.adopt(fresh)
+
+    def adopt(self, fresh: Config) -> None:
+        """Move each link to its new address at once. Requests, runs and the number of the last notice stay."""
+        self.core.counters["reloads"] += 1
+        self.config, kept = carried_over(self.config, fresh)
+        for key in kept:
+            log.warning("SIGHUP: %s: a change takes effect only at the next start", key)
+        self.pool.readdress(self.config.pool.host, self.config.pool.port)
+        self._readdress_catalogue()
+        self._readdress_announcer()
+        self.core.report()
+        log.info("SIGHUP: pool %s, catalog %s, announce %s", *(
+            f"{at.host}:{at.port}" if at else "none"
+            for at in (self.config.pool, self.config.catalogue, self.config.announce)))
+
+    def _readdress_catalogue(self) -> None:
+        at = self.config.catalogue
+        if at is None:
+            if self.catalogue is not None:
+                self.catalogue.retire()
+            self.catalogue = self.core.catalogue = None
+        elif self.catalogue is not None:
+            self.catalogue.readdress(at.host, at.port)
+        else:
+            self.catalogue = self.core.catalogue = CatalogueClient(self.turns, self.core, at.host, at.port)
+
+    def _readdress_announcer(self) -> None:
+        at = self.config.announce
+        if at is None:
+            if self.announcer is not None:
+                self.announcer.stop()
+            self.announcer, self.core.announcer = None, _Silent()
+        elif self.announcer is not None:
+            self.announcer.readdress(at.host, at.port)
+        else:
+            self.announcer = self.core.announcer = AnnounceClient(self.reactor, self.config.name, at.host, at.port)
+            self.announcer.start()
+
     # leaving
 
     def drain(self) -> None:
@@ -157,6 +208,10 @@
 
     loop: Any = reactor
     node = Node(config, loop, site)
+    # From here on a signal waits for the loop: SIGHUP's own action would end the program.
+    for number, call in ((signal.SIGTERM, node.drain), (signal.SIGINT, node.drain), (signal.SIGHUP, node.reload),
+                         (signal.SIGUSR1, node.print_counters)):
+        signal.signal(number, lambda *_, call=call: loop.callFromThread(call))
     try:
         node.listen()
     except CannotListenError as error:
@@ -164,9 +219,6 @@
         print(f"lemonway: {key}: {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
         return 2
     loop.callWhenRunning(node.start)
-    for number, call in ((signal.SIGTERM, node.drain), (signal.SIGINT, node.drain),
-                         (signal.SIGUSR1, node.print_counters)):
-        signal.signal(number, lambda *_, call=call: loop.callFromThread(call))
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     # What is loaded by now stays: a rare, short collection of what requests leave in cycles is enough.
     gc.collect()
--- a/lemonway/net/protocol/announce.py
+++ b/lemonway/net/protocol/announce.py
@@ -19,8 +19,20 @@
         self.reactor, self.name, self.address = reactor, name, (host, port)
         self.refused = 0
 
+    @property
+    def interface(self) -> str:
+        return "127.0.0.1" if self.address[0].startswith("127.") else ""
+
     def start(self) -> None:
-        self.reactor.listenUDP(0, self, interface="127.0.0.1" if self.address[0].startswith("127.") else "")
+        self.reactor.listenUDP(0, self, interface=self.interface)
+
+    def readdress(self, host: str, port: int) -> None:
+        """The next report goes there."""
+        bound = self.interface
+        self.address = (host, port)
+        if self.transport is not None and self.interface != bound:
+            self.transport.stopListening()
+            self.start()
 
     def stop(self) -> None:
         if self.transport is not None:
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -88,9 +88,9 @@
 
 
 class CatalogueConnection(Connection):
-    def __init__(self, turns: Turns, client: CatalogueClient) -> None:
+    def __init__(self, turns: Turns, client: CatalogueClient, door: Door) -> None:
         super().__init__(turns, INBOUND, OUTBOUND)
-        self.client = client
+        self.client, self.door = client, door
         self.call: Call | None = None
         self.reader = ReplyReader()
         self.used = turns.clock.now
@@ -138,20 +138,44 @@
         self.client.gone(self, call)
 
 
-class CatalogueClient(ClientFactory):
-    """The calls in hand and the connections they use. A refused connection proves that a call never ran; one that
-    breaks during a call proves nothing."""
+class Door(ClientFactory):
+    """One address of the catalogue. Once it is ``shut``, what was being opened there is let go."""
 
     noisy = False
 
+    def __init__(self, client: CatalogueClient, host: str, port: int) -> None:
+        self.client, self.host, self.port = client, host, port
+        self.name = f"{host}:{port}".encode()
+        self.opening = 0
+        self.shut = False
+
+    def open(self) -> None:
+        self.opening += 1
+        self.client.turns.reactor.connectTCP(self.host, self.port, self, timeout=None)
+
+    def buildProtocol(self, addr: Any) -> CatalogueConnection:
+        return CatalogueConnection(self.client.turns, self.client, self)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.opening -= 1
+        self.client.refused(self)
+
+    def clientConnectionLost(self, connector: Any, reason: Failure = connectionDone) -> None:
+        """The connection itself says so, in ``gone``."""
+
+
+class CatalogueClient:
+    """The calls in hand and the connections they use. A refused connection proves that a call never ran; one that
+    breaks during a call proves nothing."""
+
     def __init__(self, turns: Turns, events: CallEvents, host: str, port: int, path: str = "/fetch") -> None:
-        self.turns, self.events, self.address, self.port = turns, events, host, port
-        self.host, self.path = f"{host}:{port}".encode(), path.encode()
+        self.turns, self.events, self.path = turns, events, path.encode()
+        self.door = Door(self, host, port)
         self.idle: list[CatalogueConnection] = []
         self.calls: dict[int, Call] = {}
         self.used: dict[int, CatalogueConnection] = {}  # a call on the wire: its connection
         self.queue: deque[Call] = deque()
-        self.opening = self.count = 0
+        self.count = 0  # connections, those being opened included
 
     def call(self, ident: int, txn: str, patience: int, body: bytes) -> None:
         call = Call(ident, txn, self.turns.clock.now + patience, body)
@@ -173,39 +197,51 @@
                 elif not connection.closing and not connection.lost:
                     call = self.queue.popleft()
                     self.used[call.ident] = connection
-                    connection.start(call, self.host, self.path)
+                    connection.start(call, connection.door.name, self.path)
             else:
                 break
-        while self.opening < len(self.queue) and self.count < CONNECTIONS_MOST:
-            self.opening += 1
+        while self.door.opening < len(self.queue) and self.count < CONNECTIONS_MOST:
             self.count += 1
-            self.turns.reactor.connectTCP(self.address, self.port, self, timeout=None)
-
-    def buildProtocol(self, addr: Any) -> CatalogueConnection:
-        return CatalogueConnection(self.turns, self)
+            self.door.open()
+
+    def readdress(self, host: str, port: int) -> None:
+        """New calls go there. Those on the wire end where they are: a call made a second time might run twice."""
+        if (host, port) != (self.door.host, self.door.port):
+            self.retire()
+            self.door = Door(self, host, port)
+            self.place()
+
+    def retire(self) -> None:
+        """Keep no connection to this address once its call is over."""
+        self.door.shut = True
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.close()
 
     def ready(self, connection: CatalogueConnection) -> None:
-        self.opening -= 1
+        connection.door.opening -= 1
         connection.used = self.turns.clock.now
+        if connection.door.shut:
+            connection.close()
+            return
         self.idle.append(connection)
         self.place()
 
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        """Refused: the call that waited longest never ran."""
+    def refused(self, door: Door) -> None:
+        """Refused: the call that waited longest never ran. An address that is given up proves nothing of the next."""
         self.turns.begin()
-        self.opening -= 1
         self.count -= 1
-        while self.queue:
+        while self.queue and not door.shut:
             call = self.queue.popleft()
             if not call.over:
                 self.end(call, Outcome.UNREACHABLE, b"")
                 break
-
-    def clientConnectionLost(self, connector: Any, reason: Failure = connectionDone) -> None:
-        """The connection itself says so, in ``gone``."""
+        self.place()
 
     def replied(self, connection: CatalogueConnection, call: Call, outcome: Outcome, body: bytes) -> None:
-        if not connection.closing:
+        if connection.door.shut:
+            connection.close()
+        elif not connection.closing:
             self.idle.append(connection)
         self.end(call, outcome, body)
         self.place()
--- a/lemonway/net/protocol/pool.py
+++ b/lemonway/net/protocol/pool.py
@@ -124,22 +124,42 @@
         self.read = 0  # the number of the last notice read
         self.current: PoolConnection | None = None
         self.ever = self.stopped = False
+        self.connector: Any = None  # of the connection being made
 
     def start(self) -> None:
-        if not self.stopped:
-            self.turns.reactor.connectTCP(self.host, self.port, self, timeout=None)
+        if not self.stopped and self.connector is None:
+            self.connector = self.turns.reactor.connectTCP(self.host, self.port, self, timeout=None)
 
     def stop(self) -> None:
         self.stopped = True
+        if self.connector is not None:
+            self.connector.stopConnecting()
         if self.current is not None:
             self.current.close()
 
+    def readdress(self, host: str, port: int) -> None:
+        """Link to another address. The link in use carries on until the new one is up: the pool behind both is the
+        same, so no time goes by without one."""
+        if (host, port) == (self.host, self.port):
+            return
+        self.host, self.port = host, port
+        if self.connector is not None:
+            self.connector.stopConnecting()  # its failure brings on the next try
+        elif self.current is not None:
+            self.start()
+
     def buildProtocol(self, addr: Any) -> PoolConnection:
-        self.current = PoolConnection(self.turns, self)
+        self.connector = None
+        old, self.current = self.current, PoolConnection(self.turns, self)
+        if old is not None:
+            if old.bound:
+                self.events.link_lost()
+            old.close()  # what was written on it may still arrive
         return self.current
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self.turns.begin()
+        self.connector = None
         self.turns.after(RETRY, self.start)
 
     def clientConnectionLost(self, connector: Any, reason: Failure = connectionDone) -> None:
@@ -168,7 +188,7 @@
             if notice.name == "resync":
                 events.relinked()
             else:
-                events.polled(notice.values)
+                events.polled(notice.name, notice.values)
         elif kind == b"bound":
             connection.bound = True
             events.bound(notice.word == b"new", int(notice.ms * 1000))
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -24,12 +24,13 @@
 
 BEAT = 25_000  # between looks at the deadlines, also while the brain asks for no wake-up
 GUARD = 30_000  # past its due time a request is answered by the core itself; the rules allow 60 ms and 50 more
-POLL_WAIT = 20_000  # a wake-up goes ahead with the last gauges if the pool has not answered by then
-ANNOUNCE = 700_000  # between reports: an entry lapses after 3 s
+POLL_WAIT = 20_000  # a wake-up goes ahead without an answer to its poll if the pool has not given it by then
+GAUGES_STALE = 250_000  # gauges older than this are not shown to the brain as if they were new
+ANNOUNCE = 250_000  # between reports: an entry lapses after 3 s, and one report in four may be lost
 STOP_MARGIN = 250  # ms before the kill by which everything is answered
 OPEN_MOST = 4096  # requests in hand; with 2 KiB bodies they stay under 16 MB
 KEYS_MOST = 2048  # with results of at most 16 KiB they stay under 32 MB
-DOUBT = 1_000_000  # what was written so long before a link broke may not have arrived
+DOUBT = 100_000  # what was written so long before a link broke may not have arrived (50 ms, and what it waited)
 FAULTS_SHOWN = 20  # faults of the brain that are logged in full
 FORGOTTEN = 60_000_000  # a run whose end never came is struck off so long after its request fell due
 
@@ -45,6 +46,8 @@
     answered: bool = False
     running: bool = False  # spawned, its end not yet told
     suspended: bool = False
+    spawned_at: int = 0
+    suspended_at: int = 0
     call: bytes | None = None  # the body of the call it waits at
     calling_since: int = -1  # when that call went out; -1 = it is not out
     supplied: bytes | None = None  # the last reply, until the run shows that it came
@@ -66,13 +69,17 @@
         self.good, self.stored, self.draining, self.linked = True, False, False, False
         self.feedback: float | None = None
         self.idle_ttl = int(settings.caller_idle * 1000)
-        self._last = self._lost_at = 0
+        self._last = 0
+        self._doubtful: int | None = None  # commands said since then may be lost; None = the link is in step
+        self._bound_at = 0
         self._inbox: list[Record | api.Event] = []
         self._dues: list[tuple[int, int]] = []
         self._waiting: dict[int, list[Record]] = {}  # a try: the repeats that wait for its result
         self._gauges: tuple[float, ...] = ()
+        self._gauges_at = 0
         self._polling: int | None = None
         self._polls = self._beats = 0
+        self._polled_at = self._proved = 0  # the last poll was sent then; the last one answered was sent then
         self._checks: dict[str, tuple[Front, int]] = {}
         self._do: dict[type, Callable[[Any], None]] = {
             api.Admit: self._admit, api.Refuse: self._refuse, api.Fail: self._fail, api.Suspend: self._suspend,
@@ -144,26 +151,42 @@
 
     def bound(self, fresh: bool, age: int) -> None:
         """The pool is up, cold (``fresh``) or warm at its start ``age`` ago. The brain begins its life there."""
-        self.linked = True
+        self.linked, self._bound_at = True, self.clock.now
         if self.policy is None:
             self.policy = Policy(replace(self.settings, fresh_start=fresh), self.seed)
             self._apply(self.policy.step((self.clock.now - age) / 1000, []))
             self.announcer.announce(self.healthy)
 
     def link_lost(self) -> None:
-        self.linked, self._lost_at = False, self.clock.now
+        """Commands go in order, so what was said before a poll that was answered has arrived."""
+        self.linked = False
         self.counters["links_lost"] += 1
+        edge = min(self._proved, self.clock.now - DOUBT)
+        self._doubtful = edge if self._doubtful is None else min(edge, self._doubtful)
 
     def relinked(self) -> None:
-        """All notices of the time without a link are read: say again what may not have arrived. A run that was
-        started already is not started twice by this; a reply is repeated only if it was given while there was no
-        link or shortly before, since a run that has moved on to its next call would take it for that one's."""
+        """All notices of the time without a link are read: say again what may not have arrived, and no more. A run
+        that ends just now would be started a second time by its ``spawn``, and one that has moved on to its next
+        call would take the reply for that one's."""
+        edge, end, self._doubtful = self._doubtful, self._bound_at, None
+        if edge is None:
+            return
+
+        def lost(at: int) -> bool:
+            return edge <= at <= end
+
         for record in [r for r in self.records.values() if r.running]:
-            self.pool.spawn(record.inc.txn, self.settings.lanes[record.inc.lane].name, record.inc.body)
-            if record.supplied is not None and record.supplied_at > self._lost_at - DOUBT:
+            if lost(record.spawned_at):
+                self.counters["said_again"] += 1
+                self.pool.spawn(record.inc.txn, self.settings.lanes[record.inc.lane].name, record.inc.body)
+            if record.supplied is not None and lost(record.supplied_at):
+                self.counters["said_again"] += 1
                 self.pool.supply(record.inc.txn, record.supplied)
-            if record.suspended:
+            if record.suspended and lost(record.suspended_at):
+                self.counters["said_again"] += 1
                 self.pool.suspend(record.inc.txn)
+        for token in self._checks:
+            self.pool.verify(token)
 
     def finished(self, txn: str, outcome: Outcome, ms: float, body: bytes) -> None:
         record = self.by_txn.get(txn)
@@ -190,13 +213,14 @@
             return
         record.call, record.supplied = body, None
         if record.answered:  # its run ends here; nobody needs the call
-            record.suspended = True
-            self.pool.suspend(txn)
+            self._stop(record)
         self._inbox.append(api.CallNeeded(record.ident))
 
-    def polled(self, gauges: tuple[float, ...]) -> None:
-        self._gauges = gauges
-        self._woken(self._polling)
+    def polled(self, token: str, gauges: tuple[float, ...]) -> None:
+        self._gauges, self._gauges_at = gauges, self.clock.now
+        if token == str(self._polls):  # else it answers a wake-up that went ahead without it
+            self._proved = self._polled_at
+            self._woken(self._polling)
 
     def verified(self, token: str, good: bool) -> None:
         if check := self._checks.pop(token, None):
@@ -262,7 +286,7 @@
             if self.counters["brain_faults"] <= FAULTS_SHOWN:
                 log.exception("the brain failed on %d events", len(events))
             # Its own wake-up may have been among what it lost: without another it would sweep no more.
-            self.turns.after(BEAT, lambda: self._inbox.append(api.Woken(1, self._gauges)))
+            self.turns.after(BEAT, lambda: self._inbox.append(api.Woken(1, self.gauges)))
             return False
         self._apply(actions)
         return bool(self._inbox)
@@ -298,6 +322,9 @@
     def _report(self) -> None:
         self.clock.align()
         self.turns.after(ANNOUNCE, self._report)
+        self.report()
+
+    def report(self) -> None:
         if self.policy is not None:
             self.announcer.announce(self.healthy)
 
@@ -319,7 +346,7 @@
                 return
             until = inc.came + int((lane.memory_span + self.settings.tick) * 1000)
             self.kept.ran(inc.lane, inc.unique, record.ident, until)
-        record.running = True
+        record.running, record.spawned_at = True, self.clock.now
         self.counters["spawned"] += 1
         self.pool.spawn(record.inc.txn, lane.name, record.inc.body)
 
@@ -340,10 +367,13 @@
     def _suspend(self, a: api.Suspend) -> None:
         record = self.records.get(a.id)
         if record is not None and record.running:
-            record.suspended = True
             self.counters["suspended"] += 1
             self._hang_up(record)
-            self.pool.suspend(record.inc.txn)
+            self._stop(record)
+
+    def _stop(self, record: Record) -> None:
+        record.suspended, record.suspended_at = True, self.clock.now
+        self.pool.suspend(record.inc.txn)
 
     def _call(self, a: api.Call) -> None:
         record = self.records.get(a.id)
@@ -401,7 +431,7 @@
             self._woken(token)
             return
         self._polls += 1
-        serial = self._polls
+        serial, self._polled_at = self._polls, self.clock.now
         self.pool.poll(str(serial))
         self.turns.after(POLL_WAIT, lambda: self._woken(token if serial == self._polls else None))
 
@@ -409,7 +439,12 @@
         """Once for each wake-up, by the pool's answer or by the wait for it."""
         if token is not None and self._polling == token:
             self._polling = None
-            self._inbox.append(api.Woken(token, self._gauges))
+            self._inbox.append(api.Woken(token, self.gauges))
+
+    @property
+    def gauges(self) -> tuple[float, ...]:
+        """What the pool last said, or nothing if that is too old: the brain then goes by its own runs."""
+        return self._gauges if self._gauges_at >= self.clock.now - GAUGES_STALE else ()
 
     # answers
 
@@ -421,8 +456,7 @@
         if record.call is not None and record.running:
             # An answered request ends at its call: its core and memory come free.
             self._hang_up(record)
-            record.suspended = True
-            self.pool.suspend(record.inc.txn)
+            self._stop(record)
 
     def _send(self, inc: Incoming, answer: Answer) -> None:
         self.counters[answer.verdict.value] += 1
--- /dev/null
+++ b/tests/test_service_days.py
@@ -0,0 +1,179 @@
+"""What a node in service meets beside its routers: new configurations, breaking links. One test a rule, on sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from lemonway import interface as api
+from lemonway.kit.stage import Stage, site_settings
+
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+class OnStage(unittest.TestCase):
+    def stage(self, **options: Any) -> Stage:
+        stage = Stage(**options)
+        self.addCleanup(stage.close)
+        self.addCleanup(lambda: self.assertEqual(stage.node.core.counters["brain_faults"], 0))
+        return stage
+
+
+class Reload(OnStage):
+    def test_links_move_while_runs_calls_and_requests_stay(self) -> None:
+        stage = self.stage(calls=1)
+        stage.acervo.seconds = 0.2
+        router = stage.router()
+        first = router.call("cadastro", b"before", unique=KEY)
+        stage.spin(lambda: len(stage.acervo.calls) == 1)  # this call ends on the connection it is on
+        stage.pool.plans["busca"].held = True
+        held = router.call("busca", b"held")
+        stage.spin(lambda: len(stage.pool.spawned) == 2)
+        old, notices = stage.pool.link, stage.node.pool.read
+        stage.node.adopt(stage.open())
+        stage.spin(lambda: len(stage.pool.binds) == 2 and stage.pool.link is not None)
+        self.assertIsNot(stage.pool.link, old)
+        self.assertEqual(stage.pool.binds[1], notices, "the new link goes on from the last notice read")
+        reports = len(stage.sink.reports)
+        stage.spin(lambda: len(stage.sink.reports) > reports)
+        after = router.call("visualizador", b"after")
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual([router.answers[tag][0] for tag in (first, held, after)], ["RESULT"] * 3)
+        self.assertEqual(sorted(body for _, body in stage.acervo.calls), sorted(set(b for _, b in stage.acervo.calls)))
+        self.assertEqual((len(stage.acervo.calls), stage.tally.faults()), (3, []))
+        client = stage.node.catalogue
+        assert client is not None
+        port = stage.ports[1].getHost().port
+        self.assertEqual({each.transport.getPeer().port for each in client.idle}, {port})
+        stage.spin(lambda: stage.acervo.open == client.count)
+
+    def test_the_old_link_serves_until_the_new_address_answers(self) -> None:
+        stage = self.stage()
+        config = stage.open()
+        port = config.pool.port
+        stage.ports[0].stopListening()  # the new address does not accept yet
+        stage.reactor.iterate(0)
+        stage.node.adopt(config)
+        router = stage.router()
+        tag = router.call("busca")
+        stage.spin(lambda: tag in router.answers)
+        stage.ports[0] = stage.reactor.listenTCP(port, stage.pool, interface="127.0.0.1")
+        stage.spin(lambda: len(stage.pool.binds) == 2)
+        later = router.call("busca")
+        stage.settle()
+        self.assertEqual([router.answers[each][0] for each in (tag, later)], ["RESULT"] * 2)
+
+    def test_an_address_may_go_and_come_back(self) -> None:
+        stage = self.stage(calls=1)
+        router = stage.router()
+        stage.raw["catalog"] = None
+        stage.node.adopt(stage.open(catalogue=False))
+        tag = router.call("cadastro", unique=KEY)
+        stage.spin(lambda: stage.node.core.counters["calls_unreachable"] > 0)
+        stage.node.adopt(stage.open())
+        stage.settle()
+        self.assertEqual((router.answers[tag][0], len(stage.acervo.calls)), ("RESULT", 1))
+
+    def test_a_key_that_waits_for_the_next_start_is_named(self) -> None:
+        stage = self.stage()
+        stage.raw["limits"] = {**stage.raw["limits"], "sockets": 300}
+        with self.assertLogs("lemonway", "WARNING") as shown:
+            stage.node.adopt(stage.open())
+        self.assertIn("limits.sockets", shown.output[0])
+        self.assertEqual((len(shown.output), stage.node.config.sockets), (1, 1024))
+
+
+class Hangup(unittest.TestCase):
+    """The signal itself, on the program in a process of its own."""
+
+    def test_a_good_file_moves_the_link_and_a_bad_one_is_named(self) -> None:
+        with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as one, \
+                socket.create_server(("127.0.0.1", 0)) as two:
+            path = Path(folder, "config.json")
+            config: dict[str, Any] = {"name": "n1", "listen": "127.0.0.1:0", "settings": site_settings()}
+
+            def write(pool: Any) -> None:
+                Path(folder, "new").write_text(json.dumps({**config, "pool": pool}))
+                os.replace(Path(folder, "new"), path)
+
+            write(f"127.0.0.1:{one.getsockname()[1]}")
+            process = subprocess.Popen(
+                [sys.executable, "-m", "lemonway"], stderr=subprocess.PIPE, text=True,
+                env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_NAME": "", "EDGE_LISTEN": ""})
+            self.addCleanup(process.wait)
+            self.addCleanup(process.kill)
+            assert process.stderr is not None
+            for server in (one, two):
+                server.settimeout(10)
+            with one.accept()[0] as link:
+                self.assertEqual(link.recv(64), b"bind 0\r\n")
+                link.sendall(b"bound old 1\r\nchatter 7 hello\r\n")
+                process.stderr.readline()
+                write(17)
+                process.send_signal(signal.SIGHUP)
+                self.assertRegex(process.stderr.readline(), "SIGHUP: pool: 17 is not HOST:PORT; the old .* kept")
+                write(f"127.0.0.1:{two.getsockname()[1]}")
+                process.send_signal(signal.SIGHUP)
+                with two.accept()[0] as moved:
+                    self.assertEqual(moved.recv(64), b"bind 7\r\n")
+                    self.assertEqual(link.recv(64), b"", "the link it replaces is closed")
+            process.send_signal(signal.SIGTERM)
+            _, rest = process.communicate(timeout=10)
+            self.assertEqual(process.returncode, 0)
+            self.assertRegex(rest, "counters .*bad_reloads=1 .*reloads=1")
+
+
+class PoolLink(OnStage):
+    def test_only_what_may_be_lost_is_said_again(self) -> None:
+        stage = self.stage(calls=1)
+        stage.pool.plans["busca"].held = True
+        router, core = stage.router(), stage.node.core
+        router.call("busca", b"long there")
+        stage.spin(lambda: len(stage.pool.spawned) == 1)
+        stage.spin_for(0.25)  # polls answered since then prove that it came
+        stage.pool.deaf = True  # what is written now is lost with the link
+        lost = router.call("visualizador", b"lost")
+        stage.spin(lambda: core.counters["spawned"] == 2)
+        stage.pool.cut()
+        stage.spin(lambda: core.counters["links_lost"] == 1 and len(stage.pool.spawned) == 2)
+        stage.spin(lambda: lost in router.answers)
+        self.assertEqual(core.counters["said_again"], 1)
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual((len(stage.pool.spawned), stage.tally.faults()), (2, []))
+
+    def test_stale_gauges_are_not_shown_as_new(self) -> None:
+        stage = self.stage()
+        policy = stage.node.core.policy
+        assert policy is not None
+        seen: list[tuple[float, ...]] = []
+        step = policy.step
+
+        def watched(now: float, events: list[api.Event]) -> list[api.Action]:
+            seen.extend(e.gauges for e in events if isinstance(e, api.Woken))
+            return step(now, events)
+
+        policy.step = watched  # type: ignore[method-assign]
+        stage.pool.plans["busca"].held = True
+        router = stage.router()
+        router.call("busca")
+        stage.spin(lambda: bool(seen) and len(seen[-1]) == 4)
+        stage.pool.silent = True
+        stage.spin(lambda: seen[-1] == (), 2.0)
+        stage.pool.silent = False
+        stage.spin(lambda: len(seen[-1]) == 4, 2.0)
+        stage.pool.release("busca")
+        stage.settle()
+
+
+if __name__ == "__main__":
+    unittest.main()
