Fail a keyed request whose body is not its key's, by a digest kept with the key

Checked: nothing else can serve a stranger, since the pool answers 'unknown' to an id, class or body that never came; only Core._replay serves without a run of the request's own. Ruled out: ids of open requests (Core.submit fails them by by_txn). At fault: KeptKeys.earlier linked by class and key alone.

The entry now keeps a digest of the body; another body under a live key is failed and the entry left as it is. A spawn that the pool does not know frees the key again, so that a stranger who comes first takes nothing from its owner.

--- a/lemonway/kit/pool.py
+++ b/lemonway/kit/pool.py
@@ -87,6 +87,7 @@
         self.supplied: list[str] = []  # in order, replies that no run waited for included
         self.verify_end = "good"
         self.silent = False  # takes commands in and says nothing
+        self.strangers: set[bytes] = set()  # bodies of requests that never came to this machine
         self.deaf = False  # loses the commands that come; over with the next link
         self._queue: deque[Run] = deque()
         self._notices: deque[tuple[int, bytes]] = deque(maxlen=KEPT)
@@ -146,6 +147,10 @@
                 link.transport.write(notice)
 
     def _spawn(self, txn: str, handler: str, body: bytes) -> None:
+        if body in self.strangers:
+            if self.link is not None:
+                self.link.sendLine(f"unknown spawn {txn}".encode())
+            return
         self.spawned.append(txn)
         run = self.runs.get(txn)
         if run is not None and run.state != "over":
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -111,13 +111,18 @@
             return 0
         now = self.clock.now
         inc.came = min(inc.came, now)
+        if keyed and self.kept.clashes(inc.lane, inc.unique, inc.came, inc.body):
+            # Guards against a stranger with the key of another's request: it may not be given that one's result.
+            self.counters["bad_keys"] += 1
+            self._send(inc, Answer(Verdict.FAILED))
+            return 0
         due = inc.came + int(self.settings.lanes[inc.lane].deadline * 1000)
         if inc.patience:
             due = min(due, inc.came + inc.patience)
         self._last += 1
         record = Record(self._last, inc, max(due, now))
         if keyed:
-            record.repeats = self.kept.earlier(inc.lane, inc.unique, inc.came, record.ident)
+            record.repeats = self.kept.earlier(inc.lane, inc.unique, inc.came, record.ident, inc.body)
         self.records[record.ident] = self.by_txn[inc.txn] = record
         heappush(self._dues, (record.due + GUARD, record.ident))
         self._inbox.append(record)
@@ -230,6 +235,8 @@
         """The pool did not carry a command out. A spawn it will not know of ends as a failure."""
         self.counters[f"unknown_{command}"] += 1
         if command == "spawn":
+            if record := self.by_txn.get(txn):
+                self.kept.disown(record.ident)
             self.finished(txn, Outcome.ERROR, 0.0, b"")
 
     # what the catalogue says
@@ -345,7 +352,7 @@
                 self._replay(api.Replay(a.id))
                 return
             until = inc.came + int((lane.memory_span + self.settings.tick) * 1000)
-            self.kept.ran(inc.lane, inc.unique, record.ident, until)
+            self.kept.ran(inc.lane, inc.unique, record.ident, until, inc.body)
         record.running, record.spawned_at = True, self.clock.now
         self.counters["spawned"] += 1
         self.pool.spawn(record.inc.txn, lane.name, record.inc.body)
@@ -388,7 +395,8 @@
 
     def _retain(self, a: api.Retain) -> None:
         if record := self.records.get(a.id):
-            self.kept.retain(record.inc.lane, record.inc.unique, a.id, int(a.ttl * 1000))
+            inc = record.inc
+            self.kept.retain(inc.lane, inc.unique, a.id, int(a.ttl * 1000), inc.body)
 
     def _forget(self, a: api.Forget) -> None:
         self.kept.forget(a.id)
--- a/lemonway/net/routing/kept.py
+++ b/lemonway/net/routing/kept.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from ..transport.clock import Clock
 
@@ -14,10 +15,15 @@
     holder: int  # the newest try that was kept
     until: int
     turn: int  # the time of the turn in which its first try was read
+    digest: bytes  # of the body that every try of the key carries
     ran: int = 0  # the try that ran, if one has
     result: tuple[bool, bytes] | None = None
 
 
+def digest_of(body: bytes) -> bytes:
+    return blake2b(body, digest_size=16).digest()
+
+
 class KeptKeys:
     """Entries by class and key. An entry that ran outlives ``forget`` of a later try."""
 
@@ -29,20 +35,28 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def earlier(self, lane: int, unique: str, came: int, ident: int) -> int:
+    def _live(self, lane: int, unique: str, came: int) -> Entry | None:
+        entry = self._entries.get((lane, unique))
+        return None if entry is None or (came > entry.until and entry.turn != self._clock.now) else entry
+
+    def clashes(self, lane: int, unique: str, came: int, body: bytes) -> bool:
+        """Whether the key belongs to a request with another body: all tries of one request carry the same."""
+        entry = self._live(lane, unique, came)
+        return entry is not None and entry.digest != digest_of(body)
+
+    def earlier(self, lane: int, unique: str, came: int, ident: int, body: bytes) -> int:
         """The try that this one repeats, or 0. Two read in one turn are linked even before the brain keeps one."""
-        key, now = (lane, unique), self._clock.now
-        entry = self._entries.get(key)
-        if entry is None or (came > entry.until and entry.turn != now):
-            self._entries[key] = Entry(ident, 0, now)
-            self._keys[ident] = key
+        entry = self._live(lane, unique, came)
+        if entry is None:
+            self._entries[lane, unique] = Entry(ident, 0, self._clock.now, digest_of(body))
+            self._keys[ident] = (lane, unique)
             return 0
         return entry.ran or entry.holder
 
-    def retain(self, lane: int, unique: str, ident: int, ttl: int) -> None:
+    def retain(self, lane: int, unique: str, ident: int, ttl: int, body: bytes) -> None:
         entry = self._entries.get((lane, unique))
         if entry is None:
-            entry = self._entries[(lane, unique)] = Entry(ident, 0, self._clock.now)
+            entry = self._entries[lane, unique] = Entry(ident, 0, self._clock.now, digest_of(body))
         self._keys[ident] = (lane, unique)
         entry.holder, entry.until = ident, max(entry.until, self._clock.now + ttl)
 
@@ -52,11 +66,18 @@
         if key is not None and entry is not None and entry.holder == ident and not entry.ran:
             self._drop(key, entry)
 
-    def ran(self, lane: int, unique: str, ident: int, until: int) -> None:
+    def disown(self, ident: int) -> None:
+        """The pool knows no such request, so it never ran: its key is free for the request it belongs to."""
+        key = self._keys.get(ident)
+        entry = self._entries.get(key) if key else None
+        if key is not None and entry is not None and ident in (entry.ran, entry.holder):
+            self._drop(key, entry)
+
+    def ran(self, lane: int, unique: str, ident: int, until: int, body: bytes) -> None:
         """A try runs: its entry lives to the end of its window, kept or not."""
         entry = self._entries.get((lane, unique))
         if entry is None:
-            entry = self._entries[(lane, unique)] = Entry(ident, 0, self._clock.now)
+            entry = self._entries[lane, unique] = Entry(ident, 0, self._clock.now, digest_of(body))
         entry.ran, entry.until = ident, max(entry.until, until)
         self._keys[ident] = (lane, unique)
 
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -175,5 +175,31 @@
         stage.settle()
 
 
+class BadClients(OnStage):
+    def test_a_key_with_another_body_is_failed_and_its_entry_left_alone(self) -> None:
+        stage = self.stage()
+        router, bad = stage.router("a"), stage.router("b")
+        first = router.call("cadastro", b"entry", unique=KEY)
+        stage.settle()
+        other = bad.call("cadastro", b"forged", unique=KEY)
+        stage.settle()
+        again = router.call("cadastro", b"entry", unique=KEY)
+        stage.settle()
+        self.assertEqual(bad.answers[other][::2], ("ABORTED", b""))
+        self.assertEqual([router.answers[tag][2] for tag in (first, again)], [b"cadastro|entry"] * 2)
+        self.assertEqual(len(stage.pool.spawned), 1)
+
+    def test_a_key_that_a_stranger_used_first_is_free_again(self) -> None:
+        """Guards the owner of the key: the pool says that the stranger's request never ran."""
+        stage = self.stage()
+        stage.pool.strangers.add(b"forged")
+        router, bad = stage.router("a"), stage.router("b")
+        other = bad.call("cadastro", b"forged", unique=KEY)
+        stage.settle()
+        tag = router.call("cadastro", b"entry", unique=KEY)
+        stage.settle()
+        self.assertEqual((bad.answers[other][0], router.answers[tag][::2]), ("ABORTED", ("RESULT", b"cadastro|entry")))
+
+
 if __name__ == "__main__":
     unittest.main()
