Reuse catalogue connections only clean; prove commands by polls, repeat only unproved ones

Two causes could give that, and both were shown: - CatalogueClient.replied put the connection back in use inside the pump, so a second copy left in the ring was read as the next call's reply. The new test gave request 1's entry to request 2 with the old code. A probe: in the 50 ms before a break polls go unanswered too, in order, or else nothing is lost and a poll of 6 to 23 ms before was answered. So an answered poll proves all that was said before it. Ruled out: chunked, unreadable and 3 GB replies, all seen to be counted as bad and cut.

Now a connection rests 20 ms after a reply and is used again only with nothing unread; bytes on an idle one close it; a head is bounded with its interim replies. Commands are numbered; a poll follows each turn that said any (one at a time), and after a break only those past the last answered poll are said again.

--- a/lemonway/kit/acervo.py
+++ b/lemonway/kit/acervo.py
@@ -15,6 +15,17 @@
     "over": b"HTTP/1.1 409 Conflict\r\nX-Declined: 1\r\n",
 }
 
+NOISE = bytes(range(128, 256)) * 2
+EXTRAS = {
+    "interim": (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", b""),
+    "twice": (b"", b""), "noisy": (b"", NOISE),
+}
+SPOILT = {
+    "noise": NOISE + b"\r\n", "endless": b"HTTP/1.1 100 Continue\r\n\r\n" * 500,
+    "huge": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 65536,
+}
+WORDS = ("break", "silent", *REPLIES, *EXTRAS, *SPOILT)
+
 
 class AcervoSide(LineReceiver):
     transport: Any
@@ -25,10 +36,10 @@
         self._body, self._size = b"", 0
 
     def connectionMade(self) -> None:
-        self.acervo.open += 1
+        self.acervo.sides[self] = None
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.acervo.open -= 1
+        self.acervo.sides.pop(self, None)
 
     def lineReceived(self, line: bytes) -> None:
         if line:
@@ -52,7 +63,8 @@
 
 class StandInAcervo(ServerFactory):
     """Answers calls with what a case has put in ``script``, then with ``ok`` for good. A reply can also be
-    ``break`` (close the connection unanswered) or ``silent``."""
+    ``break`` (reset the connection unanswered), ``silent``, good with more than belongs to it (``interim`` before,
+    a second copy or noise after: ``twice``, ``noisy``), or spoilt (``noise``, ``endless``, ``huge``)."""
 
     noisy = False
 
@@ -62,7 +74,11 @@
         self.seconds = 0.0
         self.calls: list[tuple[str, bytes]] = []
         self.patiences: list[int] = []
-        self.open = 0
+        self.sides: dict[AcervoSide, None] = {}  # the connections that are open
+
+    @property
+    def open(self) -> int:
+        return len(self.sides)
 
     def buildProtocol(self, addr: Any) -> AcervoSide:
         return AcervoSide(self)
@@ -76,5 +92,11 @@
             self.reactor.callLater(self.seconds, self.reply, side, word, txn)
 
     def reply(self, side: AcervoSide, word: str, txn: str) -> None:
-        body = b"entry for " + txn.encode() if word == "ok" else b""
-        side.transport.write(REPLIES[word] + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        if word in SPOILT:
+            side.transport.write(SPOILT[word])
+            return
+        good = word in EXTRAS
+        body = b"entry for " + txn.encode() if good or word == "ok" else b""
+        reply = REPLIES["ok" if good else word] + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        before, after = EXTRAS.get(word, (b"", b""))
+        side.transport.write(before + reply + (reply if word == "twice" else after))
--- a/lemonway/kit/cases.py
+++ b/lemonway/kit/cases.py
@@ -27,6 +27,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .acervo import WORDS
 from .clients import RouterClient, UwsgiClient
 from .stage import Stage, StageTimeout, site_file, site_settings
 
@@ -103,9 +104,8 @@
             need(step["wait"] in ("answers", "runs") or _whole(step["wait"], 0, WAIT_MOST),
                  f"step.{n}.wait", f"neither answers, runs nor at most {WAIT_MOST} ms")
         if "acervo" in step:
-            known = ("ok", "declined", "failed", "late", "over", "break", "silent")
-            need(isinstance(step["acervo"], list) and all(word in known for word in step["acervo"]),
-                 f"step.{n}.acervo", f"not a list of {', '.join(known)}")
+            need(isinstance(step["acervo"], list) and all(word in WORDS for word in step["acervo"]),
+                 f"step.{n}.acervo", f"not a list of {', '.join(WORDS)}")
         need(_whole(step.get("count", 1), 1, REQUESTS_MOST), f"step.{n}.count", f"not 1 to {REQUESTS_MOST}")
     total = sum(step.get("count", 1) for step in steps if "send" in step)
     need(total <= REQUESTS_MOST, "step", f"{total} requests, at most {REQUESTS_MOST}")
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -15,11 +15,12 @@
 from ..transport.connection import Connection
 
 REPLY_MOST = 64 * 1024
-HEADERS_MOST = 64
+LINES_MOST = 128  # of a head, interim replies before it included
 INBOUND = 96 * 1024
 OUTBOUND = 96 * 1024
 CONNECTIONS_MOST = 96
 IDLE_MOST = 5_000_000  # the other side closes after 10 s: one near that is not used again
+REST = 20_000  # for which a connection must stay clean after a reply: what more came would be the next call's
 PATIENCE_MORE = 50_000  # past the stated patience before the connection is closed on an unanswered call
 
 _STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])( |\Z)")
@@ -41,6 +42,9 @@
 
     def line(self, line: bytes) -> bool:
         """Take a line; True at the end of the head."""
+        self._lines += 1
+        if self._lines > LINES_MOST:
+            raise ReplyError("a head without an end")
         if not self.status:
             if not (match := _STATUS.match(line)):
                 raise ReplyError(f"status {line[:40]!r}")
@@ -53,9 +57,8 @@
             if not self._seen and self.status not in (204, 304):
                 raise ReplyError("no Content-Length")
             return True
-        self._lines += 1
         name, colon, value = line.partition(b":")
-        if not colon or self._lines > HEADERS_MOST:
+        if not colon:
             raise ReplyError(f"header {line[:40]!r}")
         name, value = name.strip().lower(), value.strip()
         if name == b"content-length":
@@ -93,7 +96,7 @@
         self.client, self.door = client, door
         self.call: Call | None = None
         self.reader = ReplyReader()
-        self.used = turns.clock.now
+        self.used = self.clean_at = turns.clock.now  # last used then; usable, if it stays clean, from then on
 
     def opened(self) -> None:
         self.client.ready(self)
@@ -106,10 +109,18 @@
             % (path, host, call.txn.encode(), patience, len(call.body), call.body)
         )
 
-    def lineReceived(self, line: bytes) -> None:
-        if self.call is None:  # nothing was asked
-            self.abort()
+    def dataReceived(self, data: bytes) -> None:
+        if self.call is None and not self.closing:  # nothing was asked: read as a reply it would be another call's
+            self.turns.begin()
+            self.stray()
             return
+        super().dataReceived(data)
+
+    def stray(self) -> None:
+        self.client.events.counters["stray_bytes"] += 1
+        self.abort()
+
+    def lineReceived(self, line: bytes) -> None:
         try:
             if not self.reader.line(line):
                 return
@@ -128,7 +139,10 @@
     def replied(self, body: bytes) -> None:
         call, self.call = self.call, None
         self.used = self.turns.clock.now
-        if not self.reader.keep:
+        self.clean_at = self.used + REST
+        if len(self.inbound):  # the reply is good, what follows it belongs to no call
+            self.stray()
+        elif not self.reader.keep:
             self.close()
         if call is not None:
             self.client.replied(self, call, outcome_of(self.reader.status, self.reader.declined), body)
@@ -176,6 +190,7 @@
         self.used: dict[int, CatalogueConnection] = {}  # a call on the wire: its connection
         self.queue: deque[Call] = deque()
         self.count = 0  # connections, those being opened included
+        self.resting = False  # calls wait for a connection to have rested
 
     def call(self, ident: int, txn: str, patience: int, body: bytes) -> None:
         call = Call(ident, txn, self.turns.clock.now + patience, body)
@@ -186,23 +201,40 @@
 
     def place(self) -> None:
         """Put waiting calls on idle connections, and open more while any wait."""
-        edge = self.turns.clock.now - IDLE_MOST
         while self.queue:
             if self.queue[0].over:
                 self.queue.popleft()
-            elif self.idle:
-                connection = self.idle.pop()
-                if connection.used < edge:
-                    connection.close()
-                elif not connection.closing and not connection.lost:
-                    call = self.queue.popleft()
-                    self.used[call.ident] = connection
-                    connection.start(call, connection.door.name, self.path)
+            elif connection := self.rested():
+                call = self.queue.popleft()
+                self.used[call.ident] = connection
+                connection.start(call, connection.door.name, self.path)
             else:
                 break
         while self.door.opening < len(self.queue) and self.count < CONNECTIONS_MOST:
             self.count += 1
             self.door.open()
+        if self.door.opening < len(self.queue) and self.idle and not self.resting:
+            self.resting = True
+            self.turns.at(min(connection.clean_at for connection in self.idle), self.woken)
+
+    def woken(self) -> None:
+        self.resting = False
+        self.place()
+
+    def rested(self) -> CatalogueConnection | None:
+        """The idle connection last used among those that have stayed clean long enough."""
+        now, idle = self.turns.clock.now, self.idle
+        for at in range(len(idle) - 1, -1, -1):
+            connection = idle[at]
+            if connection.closing or connection.lost:
+                del idle[at]
+            elif connection.used < now - IDLE_MOST:
+                del idle[at]
+                connection.close()
+            elif connection.clean_at <= now:
+                del idle[at]
+                return connection
+        return None
 
     def readdress(self, host: str, port: int) -> None:
         """New calls go there. Those on the wire end where they are: a call made a second time might run twice."""
@@ -220,7 +252,7 @@
 
     def ready(self, connection: CatalogueConnection) -> None:
         connection.door.opening -= 1
-        connection.used = self.turns.clock.now
+        connection.used = connection.clean_at = self.turns.clock.now
         if connection.door.shut:
             connection.close()
             return
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
@@ -25,12 +25,12 @@
 BEAT = 25_000  # between looks at the deadlines, also while the brain asks for no wake-up
 GUARD = 30_000  # past its due time a request is answered by the core itself; the rules allow 60 ms and 50 more
 POLL_WAIT = 20_000  # a wake-up goes ahead without an answer to its poll if the pool has not given it by then
+POLLS_MOST = 64  # polls without an answer that are remembered
 GAUGES_STALE = 250_000  # gauges older than this are not shown to the brain as if they were new
 ANNOUNCE = 250_000  # between reports: an entry lapses after 3 s, and one report in four may be lost
 STOP_MARGIN = 250  # ms before the kill by which everything is answered
 OPEN_MOST = 4096  # requests in hand; with 2 KiB bodies they stay under 16 MB
 KEYS_MOST = 2048  # with results of at most 16 KiB they stay under 32 MB
-DOUBT = 100_000  # what was written so long before a link broke may not have arrived (50 ms, and what it waited)
 FAULTS_SHOWN = 20  # faults of the brain that are logged in full
 FORGOTTEN = 60_000_000  # a run whose end never came is struck off so long after its request fell due
 
@@ -46,12 +46,12 @@
     answered: bool = False
     running: bool = False  # spawned, its end not yet told
     suspended: bool = False
-    spawned_at: int = 0
-    suspended_at: int = 0
     call: bytes | None = None  # the body of the call it waits at
     calling_since: int = -1  # when that call went out; -1 = it is not out
     supplied: bytes | None = None  # the last reply, until the run shows that it came
-    supplied_at: int = 0
+    spawn_no: int = 0  # the numbers of the commands said last for it
+    supply_no: int = 0
+    suspend_no: int = 0
 
 
 class Core:
@@ -70,16 +70,19 @@
         self.feedback: float | None = None
         self.idle_ttl = int(settings.caller_idle * 1000)
         self._last = 0
-        self._doubtful: int | None = None  # commands said since then may be lost; None = the link is in step
-        self._bound_at = 0
+        self._said = 0  # commands said to the pool so far
+        self._proved = 0  # those up to this one have arrived: a poll after them was answered
+        self._bound_at = 0  # those up to this one were said before the link was bound
+        # Polls not yet answered, each with its number and that of the last command said before it.
+        self._asked: deque[tuple[int, int]] = deque(maxlen=POLLS_MOST)
         self._inbox: list[Record | api.Event] = []
         self._dues: list[tuple[int, int]] = []
         self._waiting: dict[int, list[Record]] = {}  # a try: the repeats that wait for its result
         self._gauges: tuple[float, ...] = ()
         self._gauges_at = 0
-        self._polling: int | None = None
+        self._polling: int | None = None  # the wake-up that waits for gauges
+        self._waking = 0  # the poll that was sent for it
         self._polls = self._beats = 0
-        self._polled_at = self._proved = 0  # the last poll was sent then; the last one answered was sent then
         self._checks: dict[str, tuple[Front, int]] = {}
         self._do: dict[type, Callable[[Any], None]] = {
             api.Admit: self._admit, api.Refuse: self._refuse, api.Fail: self._fail, api.Suspend: self._suspend,
@@ -156,43 +159,60 @@
 
     def bound(self, fresh: bool, age: int) -> None:
         """The pool is up, cold (``fresh``) or warm at its start ``age`` ago. The brain begins its life there."""
-        self.linked, self._bound_at = True, self.clock.now
+        self.linked, self._bound_at = True, self._said
         if self.policy is None:
             self.policy = Policy(replace(self.settings, fresh_start=fresh), self.seed)
             self._apply(self.policy.step((self.clock.now - age) / 1000, []))
             self.announcer.announce(self.healthy)
 
     def link_lost(self) -> None:
-        """Commands go in order, so what was said before a poll that was answered has arrived."""
         self.linked = False
+        self._asked.clear()
         self.counters["links_lost"] += 1
-        edge = min(self._proved, self.clock.now - DOUBT)
-        self._doubtful = edge if self._doubtful is None else min(edge, self._doubtful)
 
     def relinked(self) -> None:
         """All notices of the time without a link are read: say again what may not have arrived, and no more. A run
         that ends just now would be started a second time by its ``spawn``, and one that has moved on to its next
         call would take the reply for that one's."""
-        edge, end, self._doubtful = self._doubtful, self._bound_at, None
-        if edge is None:
-            return
-
-        def lost(at: int) -> bool:
-            return edge <= at <= end
-
+        doubtful = range(self._proved + 1, self._bound_at + 1)
         for record in [r for r in self.records.values() if r.running]:
-            if lost(record.spawned_at):
+            if record.spawn_no in doubtful:
                 self.counters["said_again"] += 1
-                self.pool.spawn(record.inc.txn, self.settings.lanes[record.inc.lane].name, record.inc.body)
-            if record.supplied is not None and lost(record.supplied_at):
+                self._spawn(record)
+            if record.supplied is not None and record.supply_no in doubtful:
                 self.counters["said_again"] += 1
-                self.pool.supply(record.inc.txn, record.supplied)
-            if record.suspended and lost(record.suspended_at):
+                self._supply(record, record.supplied)
+            if record.suspended and record.suspend_no in doubtful:
                 self.counters["said_again"] += 1
-                self.pool.suspend(record.inc.txn)
+                self._stop(record)
         for token in self._checks:
             self.pool.verify(token)
 
+    def _spawn(self, record: Record) -> None:
+        self._said = record.spawn_no = self._said + 1
+        self.pool.spawn(record.inc.txn, self.settings.lanes[record.inc.lane].name, record.inc.body)
+
+    def _supply(self, record: Record, body: bytes) -> None:
+        self._said = record.supply_no = self._said + 1
+        self.pool.supply(record.inc.txn, body)
+
+    def _stop(self, record: Record) -> None:
+        record.suspended = True
+        self._said = record.suspend_no = self._said + 1
+        self.pool.suspend(record.inc.txn)
+
+    def _poll(self) -> int:
+        self._polls += 1
+        self._asked.append((self._polls, self._said))
+        self.pool.poll(str(self._polls))
+        return self._polls
+
+    def _ask_for_proof(self) -> None:
+        """Guards the replies: the fewer commands a break leaves in doubt, the fewer are said twice. One poll at a
+        time is out for this."""
+        if self.linked and not self._asked and self._said > self._proved:
+            self._poll()
+
     def finished(self, txn: str, outcome: Outcome, ms: float, body: bytes) -> None:
         record = self.by_txn.get(txn)
         if record is None or not record.running:
@@ -223,9 +243,13 @@
 
     def polled(self, token: str, gauges: tuple[float, ...]) -> None:
         self._gauges, self._gauges_at = gauges, self.clock.now
-        if token == str(self._polls):  # else it answers a wake-up that went ahead without it
-            self._proved = self._polled_at
-            self._woken(self._polling)
+        number = int(token) if token.isdecimal() else 0
+        while self._asked and self._asked[0][0] < number:
+            self._asked.popleft()
+        if self._asked and self._asked[0][0] == number:  # links keep their order: what was said before it is there
+            self._proved = self._asked.popleft()[1]
+            if number >= self._waking:
+                self._woken(self._polling)
 
     def verified(self, token: str, good: bool) -> None:
         if check := self._checks.pop(token, None):
@@ -248,8 +272,8 @@
         self.counters[f"calls_{outcome.name.lower()}"] += 1
         took, record.calling_since = self.clock.now - record.calling_since, -1
         if outcome is Outcome.OK:
-            record.call, record.supplied, record.supplied_at = None, body, self.clock.now
-            self.pool.supply(record.inc.txn, body)
+            record.call, record.supplied = None, body
+            self._supply(record, body)
         self._inbox.append(api.CallEnded(ident, outcome, took / 1000))
 
     # what the program says
@@ -283,6 +307,7 @@
                 self._inbox.append(api.Abandoned(record.ident))
                 self._settle(record)
         if self.policy is None or not self._inbox:
+            self._ask_for_proof()
             return False
         inbox, self._inbox = self._inbox, []
         events = [self._arrival(e) if isinstance(e, Record) else e for e in inbox]
@@ -296,6 +321,7 @@
             self.turns.after(BEAT, lambda: self._inbox.append(api.Woken(1, self.gauges)))
             return False
         self._apply(actions)
+        self._ask_for_proof()
         return bool(self._inbox)
 
     def _apply(self, actions: list[api.Action]) -> None:
@@ -353,9 +379,9 @@
                 return
             until = inc.came + int((lane.memory_span + self.settings.tick) * 1000)
             self.kept.ran(inc.lane, inc.unique, record.ident, until, inc.body)
-        record.running, record.spawned_at = True, self.clock.now
+        record.running = True
         self.counters["spawned"] += 1
-        self.pool.spawn(record.inc.txn, lane.name, record.inc.body)
+        self._spawn(record)
 
     def _refuse(self, a: api.Refuse) -> None:
         if record := self.records.get(a.id):
@@ -378,10 +404,6 @@
             self._hang_up(record)
             self._stop(record)
 
-    def _stop(self, record: Record) -> None:
-        record.suspended, record.suspended_at = True, self.clock.now
-        self.pool.suspend(record.inc.txn)
-
     def _call(self, a: api.Call) -> None:
         record = self.records.get(a.id)
         if record is None or record.call is None or record.calling_since >= 0:
@@ -438,10 +460,8 @@
         if not self.linked:
             self._woken(token)
             return
-        self._polls += 1
-        serial, self._polled_at = self._polls, self.clock.now
-        self.pool.poll(str(serial))
-        self.turns.after(POLL_WAIT, lambda: self._woken(token if serial == self._polls else None))
+        serial = self._waking = self._poll()
+        self.turns.after(POLL_WAIT, lambda: self._woken(token if serial == self._waking else None))
 
     def _woken(self, token: int | None) -> None:
         """Once for each wake-up, by the pool's answer or by the wait for it."""
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -212,6 +212,7 @@
         for _ in range(2):
             router.call("busca")
             stage.settle()
+            stage.spin(lambda: stage.node.turns.clock.read() > client.idle[-1].clean_at)
         [used] = client.idle
         self.assertEqual(client.count, 1, "one connection carries one call after the other")
         used.used -= 6_000_000
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import unittest
+import unittest.mock
 from pathlib import Path
 from typing import Any
 
@@ -175,6 +176,52 @@
         stage.settle()
 
 
+class SpoiltReplies(OnStage):
+    def test_what_follows_a_reply_is_no_other_calls_reply(self) -> None:
+        for word in ("twice", "noisy"):
+            with self.subTest(word), unittest.mock.patch("lemonway.net.protocol.catalogue.CONNECTIONS_MOST", 1):
+                stage = Stage(calls=1)
+                try:
+                    stage.acervo.script.extend([word] * 8)
+                    router = stage.router()
+                    tags = {router.call("cadastro", b"%d" % n, unique=f"{n:032x}"): n for n in range(8)}
+                    stage.settle()
+                    for tag, n in tags.items():
+                        txn = f"{id(router) & 0xffffffff:08x}{tag:08x}"
+                        self.assertEqual(router.answers[tag][::2], (
+                            "RESULT", f"cadastro|{n}|entry for {txn}".encode()))
+                    self.assertEqual(stage.node.core.counters["stray_bytes"], 8)
+                finally:
+                    stage.close()
+
+    def test_a_spoilt_reply_costs_its_call_only_and_at_once(self) -> None:
+        for word, handler, end, calls in [
+            ("noise", "busca", "RESULT", 2), ("endless", "busca", "RESULT", 2), ("huge", "busca", "RESULT", 2),
+            ("noise", "cadastro", "ABORTED", 1), ("interim", "cadastro", "RESULT", 1),
+        ]:
+            with self.subTest(word, handler=handler):
+                stage = Stage(calls=1)
+                try:
+                    stage.acervo.script.append(word)
+                    router = stage.router()
+                    tag = router.call(handler, unique=KEY)
+                    stage.spin(lambda: tag in router.answers, 1.0)  # noqa: B023
+                    self.assertEqual((router.answers[tag][0], len(stage.acervo.calls)), (end, calls))
+                finally:
+                    stage.close()
+
+    def test_bytes_on_an_idle_connection_close_it(self) -> None:
+        stage = self.stage(calls=1)
+        router, client = stage.router(), stage.node.catalogue
+        assert client is not None
+        router.call("busca")
+        stage.settle()
+        [side] = stage.acervo.sides
+        side.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+        stage.spin(lambda: client.count == 0)
+        self.assertEqual(stage.node.core.counters["stray_bytes"], 1)
+
+
 class BadClients(OnStage):
     def test_a_key_with_another_body_is_failed_and_its_entry_left_alone(self) -> None:
         stage = self.stage()
