Size bounds from the limits; end silent, half and broken connections within 3 s

Seen by reading and probes, each shown by a test that fails with the code before: a connection that says nothing, or stops in a frame, was never closed (close_if_idle wants an empty ring and the brain's idle_ttl); one that broke the protocol waited for its open requests, up to 16 s; the 33rd request on a connection was left unread; limits.memory_mb was never read. Timers of calls and due times stayed until their deadline (16 s of calls, each with its body): Turns' heap and Core._dues now keep to the work in hand (Deadlines).

Now program/bounds.py computes connections, catalogue connections, requests, kept bytes and the pool's backlog from limits.sockets and limits.memory_mb; a full node closes first who never carried a whole request; rings give bursts back. A spawn the pool does not know ends as a run that never began (MOOT), which frees its key in the brain as well.

--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -210,6 +210,10 @@
     def finish(self, e: api.Finished) -> None:
         if not (j := self.jobs.pop(e.id, None)):
             return
+        if e.outcome is Outcome.MOOT:  # never begun: its key is free again
+            self.ran_keys.pop(j.id, None)
+            if self.entries.pop(j.id, None):
+                self.out.append(api.Forget(j.id))
         if j.pausing and not j.answered and e.outcome is Outcome.CANCELLED:
             j.spent, j.state, j.pausing, self.jobs[j.id] = self.elapsed(j), "paused", False, j
             return
--- a/lemonway/net/program/config.py
+++ b/lemonway/net/program/config.py
@@ -31,6 +31,7 @@
     seed: int
     stop_ms: float
     sockets: int
+    memory_mb: float
     settings: Settings
 
 
@@ -81,6 +82,7 @@
         seed=number,
         stop_ms=_number("stop_ms", raw.get("stop_ms", 5000), 0),
         sockets=int(_number("limits.sockets", limits.get("sockets", 1024), 64)),
+        memory_mb=_number("limits.memory_mb", limits.get("memory_mb", 192), 16),
         settings=settings,
     )
 
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -20,13 +20,13 @@
 from ..routing.core import Core
 from ..transport.clock import Clock, Turns
 from ..transport.connection import Connection
+from .bounds import Bounds, bounds_of
 from .config import Config, ConfigError, load_config
 from .reload import carried_over
 
 log = logging.getLogger(__name__)
 
 SWEEP = 500_000  # between looks for idle connections
-SPARE_SOCKETS = 200  # descriptors left for the pool, the catalogue and the program's own files
 END_WAIT = 300_000  # between looks, once draining, whether all is answered
 
 
@@ -38,38 +38,54 @@
 class RouterFactory(ServerFactory):
     noisy = False
 
-    def __init__(self, turns: Turns, core: Core, most: int) -> None:
-        self.turns, self.core, self.most = turns, core, most
+    def __init__(self, turns: Turns, core: Core, bounds: Bounds) -> None:
+        self.turns, self.core, self.bounds = turns, core, bounds
         self.names = Names.of(core.settings)
 
     def buildProtocol(self, addr: Any) -> RouterConnection | None:
         self.turns.begin()
-        if len(self.core.fronts) >= self.most:  # closed at once: nothing was read on it, so nothing is lost
-            self.core.counters["connections_over"] += 1
-            return None
+        open_now = len(self.core.fronts)
+        if open_now >= self.bounds.connections:
+            # Full: the one that can best be spared makes room, else the newcomer is closed at once. Nothing was
+            # read on either, so nothing is lost.
+            if open_now >= self.bounds.connections + self.bounds.surplus or not self.shed():
+                self.core.counters["connections_over"] += 1
+                return None
         return RouterConnection(self.turns, self.core, self.names)
 
+    def shed(self) -> bool:
+        """Guards the routers against strangers who open connections and say nothing."""
+        spare = [(rank, n, front) for n, front in enumerate(self.core.fronts)
+                 if isinstance(front, RouterConnection) and (rank := front.spare())]
+        if not spare:
+            return False
+        self.core.counters["connections_shed"] += 1
+        min(spare)[2].close()
+        return True
+
 
 class Node:
     def __init__(self, config: Config, reactor: Any, site: Site | None = None) -> None:
         self.config, self.reactor = config, reactor
         self.turns = Turns(reactor, Clock())
-        self.core = Core(config.settings, config.seed, self.turns)
-        self.pool = PoolLink(self.turns, self.core, config.pool.host, config.pool.port)
+        self.bounds = bounds_of(config.sockets, config.memory_mb)
+        self.core = Core(
+            config.settings, config.seed, self.turns, self.bounds.requests, self.bounds.kept_bytes)
+        self.pool = PoolLink(
+            self.turns, self.core, config.pool.host, config.pool.port, self.bounds.pool_bytes)
         self.core.pool = self.pool
         self.catalogue: CatalogueClient | None = None
         if config.catalogue is not None:
-            self.catalogue = CatalogueClient(
-                self.turns, self.core, config.catalogue.host, config.catalogue.port)
-            self.core.catalogue = self.catalogue
+            self.catalogue = self.core.catalogue = CatalogueClient(
+                self.turns, self.core, config.catalogue.host, config.catalogue.port, self.bounds.calls)
         self.announcer: AnnounceClient | None = None
         self.core.announcer = _Silent()
         if config.announce is not None:
             self.announcer = AnnounceClient(reactor, config.name, config.announce.host, config.announce.port)
             self.core.announcer = self.announcer
-        self.uwsgi = None if site is None else UwsgiFront(self.turns, self.core, site)
         # Both fronts' connections count; the uwsgi front has a bound of its own, so the routers keep the rest.
-        self.routers = RouterFactory(self.turns, self.core, max(16, config.sockets - SPARE_SOCKETS))
+        self.uwsgi = None if site is None else UwsgiFront(self.turns, self.core, site, self.bounds.connections)
+        self.routers = RouterFactory(self.turns, self.core, self.bounds)
         self.ports: list[Any] = []
         self.grace_until = self.stop_by = 0
         self.ended = False
@@ -89,12 +105,12 @@
         self.turns.after(SWEEP, self.sweep)
 
     def sweep(self) -> None:
-        """Close what has been idle for the time the brain keeps it."""
+        """Close what has been idle for the time the brain keeps it, and what has waited too long for its other side."""
         self.turns.after(SWEEP, self.sweep)
         edge = self.turns.clock.now - self.core.idle_ttl
         for front in list(self.core.fronts):
             if isinstance(front, RouterConnection):
-                front.close_if_idle(edge)
+                front.sweep(edge)
         if self.uwsgi is not None:
             self.uwsgi.sweep()
         if self.catalogue is not None:
@@ -136,7 +152,8 @@
         elif self.catalogue is not None:
             self.catalogue.readdress(at.host, at.port)
         else:
-            self.catalogue = self.core.catalogue = CatalogueClient(self.turns, self.core, at.host, at.port)
+            self.catalogue = self.core.catalogue = CatalogueClient(
+                self.turns, self.core, at.host, at.port, self.bounds.calls)
 
     def _readdress_announcer(self) -> None:
         at = self.config.announce
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -11,14 +11,13 @@
 
 from ...interface import Outcome
 from ..ports import CallEvents
-from ..transport.clock import Turns
+from ..transport.clock import Deadlines, Turns
 from ..transport.connection import Connection
 
 REPLY_MOST = 64 * 1024
 LINES_MOST = 128  # of a head, interim replies before it included
 INBOUND = 96 * 1024
 OUTBOUND = 96 * 1024
-CONNECTIONS_MOST = 96
 IDLE_MOST = 5_000_000  # the other side closes after 10 s: one near that is not used again
 REST = 20_000  # for which a connection must stay clean after a reply: what more came would be the next call's
 PATIENCE_MORE = 50_000  # past the stated patience before the connection is closed on an unanswered call
@@ -182,11 +181,15 @@
     """The calls in hand and the connections they use. A refused connection proves that a call never ran; one that
     breaks during a call proves nothing."""
 
-    def __init__(self, turns: Turns, events: CallEvents, host: str, port: int, path: str = "/fetch") -> None:
-        self.turns, self.events, self.path = turns, events, path.encode()
+    def __init__(
+        self, turns: Turns, events: CallEvents, host: str, port: int, most: int, path: str = "/fetch",
+    ) -> None:
+        self.turns, self.events, self.path, self.most = turns, events, path.encode(), most
         self.door = Door(self, host, port)
         self.idle: list[CatalogueConnection] = []
         self.calls: dict[int, Call] = {}
+        self.deadlines = Deadlines(self.calls)
+        self.alarm: int | None = None  # when ``expire`` is called next
         self.used: dict[int, CatalogueConnection] = {}  # a call on the wire: its connection
         self.queue: deque[Call] = deque()
         self.count = 0  # connections, those being opened included
@@ -195,7 +198,8 @@
     def call(self, ident: int, txn: str, patience: int, body: bytes) -> None:
         call = Call(ident, txn, self.turns.clock.now + patience, body)
         self.calls[ident] = call
-        self.turns.at(call.until + PATIENCE_MORE, lambda: self.expired(call))
+        self.deadlines.add(call.until + PATIENCE_MORE, ident)
+        self._arm()
         self.queue.append(call)
         self.place()
 
@@ -210,7 +214,7 @@
                 connection.start(call, connection.door.name, self.path)
             else:
                 break
-        while self.door.opening < len(self.queue) and self.count < CONNECTIONS_MOST:
+        while self.door.opening < len(self.queue) and self.count < self.most:
             self.count += 1
             self.door.open()
         if self.door.opening < len(self.queue) and self.idle and not self.resting:
@@ -293,12 +297,22 @@
             self.used.pop(call.ident, None)
             self.events.call_ended(call.ident, outcome, body)
 
-    def expired(self, call: Call) -> None:
-        if not call.over:
-            sent = call.ident in self.used
-            self.drop(call)
-            # A call that was never put on a connection never ran.
-            self.events.call_ended(call.ident, Outcome.TIMED_OUT if sent else Outcome.UNREACHABLE, b"")
+    def _arm(self) -> None:
+        first = self.deadlines.first
+        if first is not None and (self.alarm is None or first < self.alarm):
+            self.alarm = first
+            self.turns.at(first, self.expire)
+
+    def expire(self) -> None:
+        self.alarm, now = None, self.turns.clock.now
+        for ident in self.deadlines.due(now):
+            call = self.calls.get(ident)  # the number may stand for a later call of the same request by now
+            if call is not None and call.until + PATIENCE_MORE <= now:
+                sent = ident in self.used
+                self.drop(call)
+                # A call that was never put on a connection never ran.
+                self.events.call_ended(ident, Outcome.TIMED_OUT if sent else Outcome.UNREACHABLE, b"")
+        self._arm()
 
     def give_up(self, ident: int) -> None:
         if call := self.calls.get(ident):
--- a/lemonway/net/protocol/pool.py
+++ b/lemonway/net/protocol/pool.py
@@ -16,7 +16,6 @@
 
 BLOCK_MOST = 16 * 1024  # results are at most 4 KiB, calls a fraction of that
 INBOUND = 64 * 1024
-OUTBOUND = 4 * 1024 * 1024  # commands for a pool that stands still; past it the link is made anew
 RETRY = 20_000  # between tries to link
 
 ENDS = {b"good": Outcome.OK, b"bad": Outcome.ERROR, b"cut": Outcome.CANCELLED, b"gone": Outcome.MOOT}
@@ -79,7 +78,7 @@
     """One life of the link. Notices that were read on an earlier life are passed over by their number."""
 
     def __init__(self, turns: Turns, link: PoolLink) -> None:
-        super().__init__(turns, INBOUND, OUTBOUND)
+        super().__init__(turns, INBOUND, link.most)
         self.link = link
         self.notice: Notice | None = None
         self.bound = False
@@ -119,8 +118,9 @@
 
     noisy = False
 
-    def __init__(self, turns: Turns, events: PoolEvents, host: str, port: int) -> None:
-        self.turns, self.events, self.host, self.port = turns, events, host, port
+    def __init__(self, turns: Turns, events: PoolEvents, host: str, port: int, most: int) -> None:
+        """``most`` bytes of commands wait for a pool that stands still; past them the link is made anew."""
+        self.turns, self.events, self.host, self.port, self.most = turns, events, host, port, most
         self.read = 0  # the number of the last notice read
         self.current: PoolConnection | None = None
         self.ever = self.stopped = False
--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -15,11 +15,16 @@
 WORD_MOST = 1024  # any other bulk string
 SKIP_MOST = 64 * 1024  # an over-long string up to this is read past; more closes the connection
 ITEMS_MOST = 8
-OPEN_MOST = 32  # requests open on one connection; more are left unread
+OPEN_MOST = 32  # requests open on one connection; more are refused
 TAG_MOST = 2**53
-INBOUND = 48 * 1024  # one read and the start of a frame
-OUTBOUND = 256 * 1024  # 32 results of 4 KiB and their fields, twice over
-FIRST_WAIT = 1_000_000  # a connection that has carried nothing yet stays at least so long
+INBOUND = 24 * 1024  # one read and the start of a frame
+OUTBOUND = 160 * 1024  # 32 results of 4 KiB and their fields, and the refusals of a burst
+FIRST_WAIT = 1_500_000  # a connection that has carried nothing yet stays so long
+HALF_MOST = 1_500_000  # for which part of a frame may wait for the rest: routers write whole ones
+BROKEN_MOST = 1_500_000  # for which a connection that can't be read any more waits for its open requests' answers
+CLOSING_MOST = 1_000_000  # for which one that is closing waits for its last answers to be taken
+SPARE_NEW = 150_000  # a connection younger than this is not closed for another: its first request is on the way
+SPARE_USED = 250_000  # nor is one on which something has just passed
 DOOR_MOST = 2**43  # Unix milliseconds, some centuries on
 
 _TXN = re.compile(rb"[0-9a-f]{16}\Z")
@@ -187,6 +192,8 @@
         self.open: dict[int, int] = {}  # tag: the core's number of the request (0 = being handed in)
         self.checks = 0
         self.drained = self.broken = False
+        self.broken_at = 0
+        self.half_since = 0  # when the first byte came of a frame that is not whole yet; 0 = there is none
         self.fresh = True  # no request has come yet
         self.used = turns.clock.now
 
@@ -201,6 +208,13 @@
         for ident in opened.values():
             self.desk.gave_up(ident)
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        if not (self.partway or self.reader.left):
+            self.half_since = 0
+        elif not self.half_since:
+            self.half_since = self.turns.clock.now
+
     def lineReceived(self, line: bytes) -> None:
         try:
             frame = self.reader.line(line)
@@ -226,7 +240,7 @@
     def take(self, items: list[bytes]) -> None:
         """A whole frame. One that makes no sense gets a failure word if its tag can be answered; else only this
         connection is closed."""
-        self.used, self.fresh = self.turns.clock.now, False
+        self.used, self.fresh, self.half_since = self.turns.clock.now, False, 0
         tag = self.tag_of(items)
         if tag < 0 or tag in self.open:
             self.refuse_more()
@@ -245,12 +259,14 @@
             self.desk.counters["failed_unread"] += 1
             self.send(encode_answer(tag, Answer(Verdict.FAILED)))
             return
+        if len(self.open) >= OPEN_MOST:  # left unread they would wait, and nobody is to wait for a refusal
+            self.desk.counters["refused_unread"] += 1
+            self.send(encode_answer(tag, Answer(Verdict.REFUSED)))
+            return
         self.open[tag] = 0
         ident = self.desk.submit(incoming)
         if ident and tag in self.open:
             self.open[tag] = ident
-        if len(self.open) >= OPEN_MOST:  # back-pressure: the rest waits in the ring and the socket
-            self.hold_reading()
 
     @staticmethod
     def tag_of(items: list[bytes]) -> int:
@@ -267,7 +283,7 @@
         """Nothing more can be read here. What is open is still answered, then the connection closes."""
         if self.broken:
             return
-        self.broken = True
+        self.broken, self.broken_at = True, self.turns.clock.now
         self.desk.counters["bad_frames"] += 1
         tag = self.tag_of(self.reader.items) if self.reader.left else -1
         if tag > 0 and tag not in self.open and self.reader.items[0] in (b"CALL", b"CHECK"):
@@ -280,10 +296,6 @@
         if self.broken and not self.open and not self.checks:
             self.close()
 
-    def resume_reading(self) -> None:
-        if not self.broken:
-            super().resume_reading()
-
     # what the core says
 
     def answer(self, tag: int, answer: Answer) -> None:
@@ -291,8 +303,6 @@
             return
         self.used = self.turns.clock.now
         self.send(encode_answer(tag, answer))
-        if len(self.open) < OPEN_MOST:
-            self.resume_reading()
         self.close_if_done()
 
     def checked(self, tag: int, good: bool, feedback: float | None) -> None:
@@ -305,11 +315,36 @@
             self.drained = True
             self.send(encode(b"0", b"DRAIN"))
 
-    def close_if_idle(self, edge: int) -> None:
-        """Closed if nothing is open and nothing has passed since ``edge``. The brain may want idle connections
-        gone within 10 ms: one just opened is spared, its first request is on the way."""
-        if self.fresh:
-            edge = min(edge, self.turns.clock.now - FIRST_WAIT)
-        if not self.open and not self.checks and not len(self.inbound) and self.used < edge:
+    def sweep(self, edge: int) -> None:
+        """Nobody waits here for long. Closed is what has been idle since ``edge``, what never said anything, and what
+        stopped half way through a frame."""
+        now = self.turns.clock.now
+        if self.closing:
+            if self.closing_since < now - CLOSING_MOST:
+                self.abort()
+        elif self.broken:
+            if self.broken_at < now - BROKEN_MOST:
+                self.fail_open()
+        elif self.half_since:
+            if self.half_since < now - HALF_MOST:
+                self.desk.counters["half_frames"] += 1
+                self.refuse_more()
+        elif not self.open and not self.checks and self.used < (now - FIRST_WAIT if self.fresh else edge):
             self.desk.counters["closed_idle"] += 1
             self.close()
+
+    def fail_open(self) -> None:
+        """Answer what is open now: its sender has broken the protocol, and has waited long enough."""
+        opened, self.open, self.checks = self.open, {}, 0
+        for tag, ident in opened.items():
+            self.desk.gave_up(ident)
+            self.send(encode_answer(tag, Answer(Verdict.FAILED)))
+        self.close()
+
+    def spare(self) -> tuple[bool, int] | None:
+        """How readily this connection may be closed for a newcomer, the least first, or None: those that never
+        carried a whole request, then those that did, the longest unused first."""
+        if self.open or self.checks or self.closing:
+            return None
+        spared = SPARE_NEW if self.fresh else SPARE_USED
+        return (not self.fresh, self.used) if self.used < self.turns.clock.now - spared else None
--- a/lemonway/net/protocol/uwsgi.py
+++ b/lemonway/net/protocol/uwsgi.py
@@ -303,15 +303,17 @@
 
     noisy = False
 
-    def __init__(self, turns: Turns, desk: Desk, site: Site) -> None:
-        self.turns, self.desk, self.site = turns, desk, site
+    def __init__(self, turns: Turns, desk: Desk, site: Site, most: int) -> None:
+        """``most`` connections are open on all fronts together."""
+        self.turns, self.desk, self.site, self.most = turns, desk, site, most
         self.open: dict[UwsgiConnection, None] = {}
         self.ranks = band_ranks(desk.settings)
         self._txn = secrets.randbits(64)
 
     def buildProtocol(self, addr: Any) -> UwsgiConnection | None:
         self.turns.begin()
-        if len(self.open) >= self.site.max_connections:  # nothing was read on it: its client may go elsewhere
+        if len(self.open) >= self.site.max_connections or len(self.desk.fronts) >= self.most:
+            # Nothing was read on it: its client may go elsewhere.
             self.desk.counters["uwsgi_over"] += 1
             return None
         return UwsgiConnection(self.turns, self)
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -9,7 +9,6 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from heapq import heappop, heappush
 from math import ceil
 from typing import Any
 
@@ -17,7 +16,7 @@
 from ...brain import Policy
 from ...interface import Effect, Outcome, Settings
 from ..ports import Announcer, Answer, Catalogue, Front, Incoming, Verdict, WorkerPool
-from ..transport.clock import Turns
+from ..transport.clock import Deadlines, Turns
 from .kept import KeptKeys
 
 log = logging.getLogger(__name__)
@@ -25,12 +24,11 @@
 BEAT = 25_000  # between looks at the deadlines, also while the brain asks for no wake-up
 GUARD = 30_000  # past its due time a request is answered by the core itself; the rules allow 60 ms and 50 more
 POLL_WAIT = 20_000  # a wake-up goes ahead without an answer to its poll if the pool has not given it by then
+CHECKS_MOST = 64  # deep health checks under way; more are answered from store
 POLLS_MOST = 64  # polls without an answer that are remembered
 GAUGES_STALE = 250_000  # gauges older than this are not shown to the brain as if they were new
 ANNOUNCE = 250_000  # between reports: an entry lapses after 3 s, and one report in four may be lost
 STOP_MARGIN = 250  # ms before the kill by which everything is answered
-OPEN_MOST = 4096  # requests in hand; with 2 KiB bodies they stay under 16 MB
-KEYS_MOST = 2048  # with results of at most 16 KiB they stay under 32 MB
 FAULTS_SHOWN = 20  # faults of the brain that are logged in full
 FORGOTTEN = 60_000_000  # a run whose end never came is struck off so long after its request fell due
 
@@ -55,7 +53,9 @@
 
 
 class Core:
-    def __init__(self, settings: Settings, seed: int, turns: Turns) -> None:
+    def __init__(self, settings: Settings, seed: int, turns: Turns, requests: int, kept_bytes: int) -> None:
+        """At most so many ``requests`` are in hand, and keys and results take at most ``kept_bytes``."""
+        self.requests, self.kept_bytes = requests, kept_bytes
         self.settings, self.seed, self.turns, self.clock = settings, seed, turns, turns.clock
         self.pool: WorkerPool
         self.announcer: Announcer
@@ -76,7 +76,7 @@
         # Polls not yet answered, each with its number and that of the last command said before it.
         self._asked: deque[tuple[int, int]] = deque(maxlen=POLLS_MOST)
         self._inbox: list[Record | api.Event] = []
-        self._dues: list[tuple[int, int]] = []
+        self._dues = Deadlines(self.records)
         self._waiting: dict[int, list[Record]] = {}  # a try: the repeats that wait for its result
         self._gauges: tuple[float, ...] = ()
         self._gauges_at = 0
@@ -107,9 +107,9 @@
             self.counters["bad_txn"] += 1
             self._send(inc, Answer(Verdict.FAILED))
             return 0
-        if len(self.records) >= OPEN_MOST or (keyed and len(self.kept) >= KEYS_MOST):
+        ran = keyed and self.kept.source(inc.lane, inc.unique)  # a repeat of what ran adds no entry
+        if len(self.records) >= self.requests or (keyed and not ran and self.kept.weight >= self.kept_bytes):
             self.counters["table_full"] += 1
-            ran = keyed and self.kept.source(inc.lane, inc.unique)
             self._send(inc, Answer(Verdict.FAILED if ran else Verdict.REFUSED))  # what ran is never refused
             return 0
         now = self.clock.now
@@ -127,7 +127,7 @@
         if keyed:
             record.repeats = self.kept.earlier(inc.lane, inc.unique, inc.came, record.ident, inc.body)
         self.records[record.ident] = self.by_txn[inc.txn] = record
-        heappush(self._dues, (record.due + GUARD, record.ident))
+        self._dues.add(record.due + GUARD, record.ident)
         self._inbox.append(record)
         return record.ident
 
@@ -143,7 +143,7 @@
 
     def check(self, front: Front, tag: int, deep: bool) -> None:
         self.counters["checks"] += 1
-        if deep and not self.stored and self.good and self.linked and len(self._checks) < OPEN_MOST:
+        if deep and not self.stored and self.good and self.linked and len(self._checks) < CHECKS_MOST:
             token = f"c{self.counters['checks']}"
             self._checks[token] = (front, tag)
             self.pool.verify(token)
@@ -224,7 +224,9 @@
         paused = record.suspended and not record.answered and outcome is Outcome.CANCELLED
         record.suspended = False
         if not paused:
-            if self.settings.lanes[record.inc.lane].effect is Effect.KEYED:
+            if outcome is Outcome.MOOT:
+                self.kept.disown(record.ident)
+            elif self.settings.lanes[record.inc.lane].effect is Effect.KEYED:
                 self.kept.ended(record.ident, outcome is Outcome.OK, body)
             self._release_waiting(record.ident, outcome is Outcome.OK, body)
             # Guards against a result that comes after the answer: ``_answer`` drops it.
@@ -256,12 +258,10 @@
             check[0].checked(check[1], good and self.healthy, self.feedback)
 
     def unknown(self, command: str, txn: str) -> None:
-        """The pool did not carry a command out. A spawn it will not know of ends as a failure."""
+        """The pool did not carry a command out. A spawn it will not know of ends as a run that never began."""
         self.counters[f"unknown_{command}"] += 1
         if command == "spawn":
-            if record := self.by_txn.get(txn):
-                self.kept.disown(record.ident)
-            self.finished(txn, Outcome.ERROR, 0.0, b"")
+            self.finished(txn, Outcome.MOOT, 0.0, b"")
 
     # what the catalogue says
 
@@ -297,9 +297,9 @@
 
     def step(self) -> bool:
         """The core's part of a turn: what fell due, then one step of the brain with all that came."""
-        now, dues = self.clock.now, self._dues
-        while dues and dues[0][0] <= now:
-            record = self.records.get(heappop(dues)[1])
+        now = self.clock.now
+        for ident in self._dues.due(now):
+            record = self.records.get(ident)
             if record is not None and not record.answered:
                 # Guards against a brain that can't answer: no pool yet, or a fault in it.
                 self.counters["answered_by_guard"] += 1
--- a/lemonway/net/routing/kept.py
+++ b/lemonway/net/routing/kept.py
@@ -7,6 +7,7 @@
 
 from ..transport.clock import Clock
 
+ENTRY_BYTES = 800  # what an entry takes without its result
 LATE_READ = 10_000_000  # an entry stays so long past its end for repeats that came in time but are read late
 
 
@@ -31,10 +32,16 @@
         self._clock = clock
         self._entries: dict[tuple[int, str], Entry] = {}
         self._keys: dict[int, tuple[int, str]] = {}  # a kept or run try: its key
+        self._results = 0  # bytes of results
 
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def weight(self) -> int:
+        """The bytes that the table takes, near enough to bound it."""
+        return len(self._entries) * ENTRY_BYTES + self._results
+
     def _live(self, lane: int, unique: str, came: int) -> Entry | None:
         entry = self._entries.get((lane, unique))
         return None if entry is None or (came > entry.until and entry.turn != self._clock.now) else entry
@@ -48,6 +55,8 @@
         """The try that this one repeats, or 0. Two read in one turn are linked even before the brain keeps one."""
         entry = self._live(lane, unique, came)
         if entry is None:
+            if old := self._entries.get((lane, unique)):
+                self._drop((lane, unique), old)
             self._entries[lane, unique] = Entry(ident, 0, self._clock.now, digest_of(body))
             self._keys[ident] = (lane, unique)
             return 0
@@ -84,8 +93,9 @@
     def ended(self, ident: int, good: bool, body: bytes) -> None:
         key = self._keys.get(ident)
         entry = self._entries.get(key) if key else None
-        if entry is not None and entry.ran == ident:
+        if entry is not None and entry.ran == ident and entry.result is None:
             entry.result = (good, body)
+            self._results += len(body)
 
     def source(self, lane: int, unique: str) -> int:
         entry = self._entries.get((lane, unique))
@@ -105,5 +115,6 @@
 
     def _drop(self, key: tuple[int, str], entry: Entry) -> None:
         del self._entries[key]
+        self._results -= len(entry.result[1]) if entry.result else 0
         for ident in (entry.holder, entry.ran):
             self._keys.pop(ident, None)
--- a/lemonway/net/transport/clock.py
+++ b/lemonway/net/transport/clock.py
@@ -4,8 +4,8 @@
 
 import logging
 import time
-from collections.abc import Callable
-from heapq import heappop, heappush
+from collections.abc import Callable, Iterator, Sized
+from heapq import heapify, heappop, heappush
 from typing import Any, Protocol
 
 log = logging.getLogger(__name__)
@@ -42,6 +42,38 @@
         return (at + self._unix) // 1000
 
 
+class Live(Sized, Protocol):
+    def __contains__(self, ident: object, /) -> bool: ...
+
+
+class Deadlines:
+    """When each of many numbered things falls due. Most are over long before: they are struck off once they outnumber
+    those still ``live``, so that what is kept grows with the work in hand and not with the longest wait."""
+
+    __slots__ = ("_heap", "_live")
+
+    def __init__(self, live: Live) -> None:
+        self._heap: list[tuple[int, int]] = []
+        self._live = live
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def add(self, when: int, ident: int) -> None:
+        if len(self._heap) > 64 + 4 * len(self._live):
+            self._heap = [entry for entry in self._heap if entry[1] in self._live]
+            heapify(self._heap)
+        heappush(self._heap, (when, ident))
+
+    @property
+    def first(self) -> int | None:
+        return self._heap[0][0] if self._heap else None
+
+    def due(self, now: int) -> Iterator[int]:
+        while self._heap and self._heap[0][0] <= now:
+            yield heappop(self._heap)[1]
+
+
 class Turns:
     """One turn of the loop: connections take in what came, then due timers run, then the core steps once, then
     what was written goes out. All timers share one heap and one delayed call of the reactor."""
--- a/lemonway/net/transport/connection.py
+++ b/lemonway/net/transport/connection.py
@@ -46,6 +46,7 @@
         self.turns = turns
         self.inbound, self.outbound = RingBuffer(inbound), RingBuffer(outbound)
         self.choked = self.closing = self.lost = self._pumping = False
+        self.closing_since = 0
         self._wanted = self._unwanted = 0
 
     # reading
@@ -65,6 +66,12 @@
             self.refuse_more()
             return
         self.pump()
+        self.inbound.trim()
+
+    @property
+    def partway(self) -> bool:
+        """Whether part of a message has come, or a message that is being read past."""
+        return bool(len(self.inbound) or self._unwanted) or not self.line_mode
 
     def expect(self, count: int) -> None:
         """The next ``count`` bytes come to ``blockReceived``; lines are read again after them."""
@@ -109,10 +116,6 @@
             self.paused = True
             self.transport.pauseProducing()
 
-    def resume_reading(self) -> None:
-        if self.paused and not self.closing and not self.lost:
-            self.resumeProducing()
-
     def resumeProducing(self) -> None:
         self.paused = False
         self.pump()
@@ -145,6 +148,7 @@
     def flush(self) -> None:
         if not self.lost and not self.choked and len(self.outbound) and self.transport is not None:
             self.transport.write(self.outbound.read(len(self.outbound)))
+            self.outbound.trim()
         if self.closing and not self.lost and not len(self.outbound) and self.transport is not None:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
@@ -152,11 +156,12 @@
     def close(self) -> None:
         """Close once what was written is out."""
         if not self.closing and not self.lost:
-            self.closing = True
+            self.closing, self.closing_since = True, self.turns.clock.now
             self.turns.wrote(self)
 
     def abort(self) -> None:
-        self.closing = True
+        if not self.closing:
+            self.closing, self.closing_since = True, self.turns.clock.now
         if not self.lost and self.transport is not None:
             self.transport.abortConnection()
 
--- a/lemonway/net/transport/ring.py
+++ b/lemonway/net/transport/ring.py
@@ -7,11 +7,12 @@
     """Bytes in order. The store starts small and doubles up to ``maximum``; a full ring takes nothing more,
     which is the caller's sign to stop the other side."""
 
-    __slots__ = ("_data", "_head", "_size", "maximum")
+    __slots__ = ("_data", "_first", "_head", "_size", "maximum")
 
     def __init__(self, maximum: int, first: int = 1024) -> None:
         self.maximum = maximum
-        self._data = bytearray(min(first, maximum))
+        self._first = min(first, maximum)
+        self._data = bytearray(self._first)
         self._head = self._size = 0
 
     def __len__(self) -> int:
@@ -44,6 +45,13 @@
         fresh[: self._size] = self.peek(self._size)
         self._data, self._head = fresh, 0
 
+    def trim(self) -> None:
+        """Give back a store that a burst has left far too large: many connections hold one each."""
+        if len(self._data) > 4 * self._first and self._size <= self._first:
+            fresh = bytearray(self._first)
+            fresh[: self._size] = self.peek(self._size)
+            self._data, self._head = fresh, 0
+
     def peek(self, count: int, offset: int = 0) -> bytes:
         """Up to ``count`` bytes from ``offset`` on, left in place."""
         count = min(count, self._size - offset)
