--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -31,6 +31,7 @@
 LAG = 0.15  # share of the shortest aim that requests lie unread from which reading itself is drowned
 IDLE_SHARE = 0.25  # share of the callers' idle time that unused connections are kept, if callers return in it
 IDLE_LEAST = 10.0  # ms, the shortest time to keep one that the wire allows: "close it at once"
+CALL_LOST = 2.0  # times the longest of late (FORGET_MIX a call) from which a call is taken to be lost
 RATE_SPAN = 5000.0  # ms over which the rate of arrivals is learned: a few dozen even at a few a second
 
 
@@ -39,13 +40,13 @@
 
     __slots__ = ("id", "lane", "kind", "tenant", "came", "due", "aim", "base", "kb", "retry", "state",
                  "since", "spent", "answered", "keyed", "hinted", "ran", "rate", "pausing", "recall",
-                 "spacing")
+                 "spacing", "waited")
 
     def __init__(self, e: Arrival, kind: api.Lane, came: float, due: float, aim: float, base: float) -> None:
         self.id, self.lane, self.kind, self.tenant, self.retry = e.id, e.lane, kind, e.tenant, e.retry
         self.came, self.due, self.aim, self.base, self.kb = came, due, aim, base, e.size_kb
         self.state = "held"  # held, running, paused, stalled (wants a call), calling, replaying
-        self.since = self.spent = self.rate = self.recall = self.spacing = 0.0
+        self.since = self.spent = self.rate = self.recall = self.spacing = self.waited = 0.0
         self.answered = self.ran = self.pausing = False
         self.keyed, self.hinted = kind.effect is Effect.KEYED, e.work is not None
 
@@ -77,6 +78,7 @@
         self.entries: dict[int, float] = {}  # id with an entry in the table: until when
         self.heirs: dict[int, int] = {}  # id of a held try: the newer one that took its place
         self.calls_mean, self.calls_at, self.lingering = 0.0, 0.0, deque[float]()
+        self.call_most = 0.0  # the longest time of late that a call took to come back
         self.grace_end = self.kill = float("inf")
         self.wake_at = -1.0
 
@@ -381,6 +383,9 @@
         if not (j := self.jobs.get(e.id)):
             return
         j.state, j.since = "running" if e.outcome is Outcome.OK else "stalled", self.now
+        if e.outcome is Outcome.OK:
+            self.call_most = max(e.duration, (1.0 - FORGET_MIX) * self.call_most)
+        j.waited = e.duration if e.outcome is Outcome.TIMED_OUT else 0.0
         if e.outcome is Outcome.TIMED_OUT:
             self.lingering.append(self.now + self.s.call_linger)
         # Guards against calling a declining tier as fast as it can answer: the first new call goes out at
@@ -410,12 +415,20 @@
             if j.answered or self.now < j.recall:
                 continue
             if busy < max(1.0, share) and self.calls_mean < share:
-                self.out.append(api.Call(j.id, max(self.s.tick, j.due - self.now - SAMPLE)))
+                wait = min(self.patience(j), j.due - self.now - SAMPLE)
+                self.out.append(api.Call(j.id, max(self.s.tick, wait)))
                 j.state = "calling"
                 busy += 1
             elif j.kind.skip_worth > 0 and self.now + j.base * self.slow > j.aim:
                 self.skip(j)
 
+    def patience(self, j: Job) -> float:
+        """How long a call may take. Some are lost on the way: one that may run twice is made anew once it
+        takes far longer than calls do, then with twice the wait. Harm: a rare long call is begun again."""
+        if j.kind.effect is not Effect.SAFE or not self.call_most:
+            return j.due - self.now
+        return max(2.0 * j.waited, CALL_LOST * self.call_most, 2.0 * SAMPLE)
+
     def drain(self, e: api.Drain) -> None:
         self.grace_end, self.kill = self.now + self.s.drain_grace, self.now + e.remaining
         self.out.append(api.SetHealth(False, True))
--- /dev/null
+++ b/tests/test_lost_calls.py
@@ -0,0 +1,64 @@
+"""Calls that never come back, as the brain sees them: those that may run twice are made anew in time."""
+
+from __future__ import annotations
+
+import unittest
+
+from lemonway import Policy, Settings
+from lemonway import interface as api
+from lemonway.interface import Effect, Lane, Outcome
+
+
+class LostCalls(unittest.TestCase):
+    def setUp(self) -> None:
+        lanes = [Lane("read", 2000.0, deadline=8000.0),
+                 Lane("write", 2000.0, deadline=8000.0, effect=Effect.KEYED, memory_span=9000.0)]
+        self.policy = Policy(Settings(lanes=lanes, cores=8, tick=5.0), 1)
+        self.now = 0.0
+        for n in range(1, 41):  # calls take 100 ms, and 200 ms now and then
+            self.call(n)
+            self.end(n, Outcome.OK, 200.0 if n % 5 == 0 else 100.0)
+            self.step(api.Finished(n, 300.0, Outcome.OK))
+
+    def step(self, *events: api.Event) -> list[api.Action]:
+        return self.policy.step(self.now, list(events))
+
+    def call(self, ident: int, lane: int = 0) -> float:
+        """Run a request to its call; gives how long that may take."""
+        self.step(api.Arrival(ident, lane=lane))
+        return self.waits(self.step(api.CallNeeded(ident)))
+
+    def end(self, ident: int, outcome: Outcome, took: float) -> list[api.Action]:
+        self.now += took
+        return self.step(api.CallEnded(ident, outcome, took))
+
+    @staticmethod
+    def waits(actions: list[api.Action]) -> float:
+        [call] = [a for a in actions if isinstance(a, api.Call)]
+        return call.timeout
+
+    def test_a_safe_call_is_given_up_long_before_its_caller_is(self) -> None:
+        first = self.call(100)
+        self.assertTrue(200.0 < first < 600.0, first)
+        second = self.waits(self.end(100, Outcome.TIMED_OUT, first))
+        self.assertAlmostEqual(second, 2 * first, delta=first / 10)
+        self.end(100, Outcome.TIMED_OUT, second)
+        self.now += 50.0  # calls made anew are spaced
+        self.assertAlmostEqual(self.waits(self.step(api.Woken(1))), 2 * second, delta=first / 5)
+
+    def test_a_call_that_was_turned_away_does_not_lengthen_the_wait(self) -> None:
+        first = self.call(100)
+        second = self.waits(self.end(100, Outcome.TURNED_AWAY, 5.0))
+        self.assertLessEqual(second, first)
+
+    def test_a_call_that_may_run_once_waits_to_the_end(self) -> None:
+        self.assertGreater(self.call(100, lane=1), 7000.0)
+
+    def test_a_tier_that_slows_down_is_waited_for(self) -> None:
+        self.call(100)
+        self.end(100, Outcome.OK, 350.0)
+        self.assertGreater(self.call(101), 650.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
