--- a/lemonway/kit/acervo.py
+++ b/lemonway/kit/acervo.py
@@ -75,6 +75,7 @@
         self.calls: list[tuple[str, bytes]] = []
         self.patiences: list[int] = []
         self.sides: dict[AcervoSide, None] = {}  # the connections that are open
+        self.forgotten: set[AcervoSide] = set()
 
     @property
     def open(self) -> int:
@@ -83,7 +84,14 @@
     def buildProtocol(self, addr: Any) -> AcervoSide:
         return AcervoSide(self)
 
+    def forget(self) -> None:
+        """Reset each connection that is open now at its next call, which never runs."""
+        self.forgotten = set(self.sides)
+
     def called(self, side: AcervoSide, txn: str, body: bytes) -> None:
+        if side in self.forgotten:
+            side.transport.abortConnection()
+            return
         self.calls.append((txn, body))
         word = self.script.popleft() if self.script else "ok"
         if word == "break":
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -19,6 +19,7 @@
 INBOUND = 96 * 1024
 OUTBOUND = 96 * 1024
 IDLE_MOST = 5_000_000  # the other side closes after 10 s: one near that is not used again
+IDLE_ONCE = 100_000  # idle for longer it may have been forgotten (seen from 135 ms on): not for a call made only once
 REST = 20_000  # for which a connection must stay clean after a reply: what more came would be the next call's
 PATIENCE_MORE = 50_000  # past the stated patience before the connection is closed on an unanswered call
 
@@ -83,10 +84,11 @@
 
 
 class Call:
-    __slots__ = ("ident", "txn", "until", "body", "over")
+    __slots__ = ("ident", "txn", "until", "body", "once", "over")
 
-    def __init__(self, ident: int, txn: str, until: int, body: bytes) -> None:
-        self.ident, self.txn, self.until, self.body, self.over = ident, txn, until, body, False
+    def __init__(self, ident: int, txn: str, until: int, body: bytes, once: bool) -> None:
+        self.ident, self.txn, self.until, self.body = ident, txn, until, body
+        self.once, self.over = once, False
 
 
 class CatalogueConnection(Connection):
@@ -195,8 +197,9 @@
         self.count = 0  # connections, those being opened included
         self.resting = False  # calls wait for a connection to have rested
 
-    def call(self, ident: int, txn: str, patience: int, body: bytes) -> None:
-        call = Call(ident, txn, self.turns.clock.now + patience, body)
+    def call(self, ident: int, txn: str, patience: int, body: bytes, once: bool) -> None:
+        """``once``: what breaks this call can't be made good by another."""
+        call = Call(ident, txn, self.turns.clock.now + patience, body, once)
         self.calls[ident] = call
         self.deadlines.add(call.until + PATIENCE_MORE, ident)
         self._arm()
@@ -205,27 +208,29 @@
 
     def place(self) -> None:
         """Put waiting calls on idle connections, and open more while any wait."""
-        while self.queue:
-            if self.queue[0].over:
-                self.queue.popleft()
-            elif connection := self.rested():
-                call = self.queue.popleft()
+        waiting, self.queue = self.queue, deque()
+        for call in waiting:
+            if call.over:
+                continue
+            if connection := self.rested(call.once):
                 self.used[call.ident] = connection
                 connection.start(call, connection.door.name, self.path)
             else:
-                break
+                self.queue.append(call)
         while self.door.opening < len(self.queue) and self.count < self.most:
             self.count += 1
             self.door.open()
         if self.door.opening < len(self.queue) and self.idle and not self.resting:
             self.resting = True
-            self.turns.at(min(connection.clean_at for connection in self.idle), self.woken)
+            self.turns.after(REST, self.woken)
+            if self.idle[0].clean_at <= self.turns.clock.now:  # too long idle for what waits: a new one takes its place
+                self.idle.pop(0).close()
 
     def woken(self) -> None:
         self.resting = False
         self.place()
 
-    def rested(self) -> CatalogueConnection | None:
+    def rested(self, once: bool) -> CatalogueConnection | None:
         """The idle connection last used among those that have stayed clean long enough."""
         now, idle = self.turns.clock.now, self.idle
         for at in range(len(idle) - 1, -1, -1):
@@ -236,6 +241,8 @@
                 del idle[at]
                 connection.close()
             elif connection.clean_at <= now:
+                if once and connection.used < now - IDLE_ONCE:
+                    return None  # the others have been idle for even longer
                 del idle[at]
                 return connection
         return None
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -413,7 +413,8 @@
         if self.catalogue is None:
             self.call_ended(a.id, Outcome.UNREACHABLE, b"")
         else:
-            self.catalogue.call(a.id, record.inc.txn, int(a.timeout * 1000), record.call)
+            self.catalogue.call(a.id, record.inc.txn, int(a.timeout * 1000), record.call,
+                                self.settings.lanes[record.inc.lane].effect is not Effect.SAFE)
 
     def _retain(self, a: api.Retain) -> None:
         if record := self.records.get(a.id):
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -18,6 +18,7 @@
 from lemonway.kit.clients import RouterClient
 from lemonway.kit.stage import Stage, site_settings
 from lemonway.net.program.bounds import FILES, MB, PROGRAM_MB, REQUEST_BYTES, bounds_of
+from lemonway.net.protocol.catalogue import IDLE_ONCE
 
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 
@@ -213,6 +214,24 @@
                 finally:
                     stage.close()
 
+    def test_a_call_made_once_uses_no_connection_that_may_be_forgotten(self) -> None:
+        stage = self.stage(calls=1)
+        router, client = stage.router(), stage.node.catalogue
+        assert client is not None
+        router.call("busca")
+        stage.settle()
+        stage.acervo.forget()
+        edge = stage.node.turns.clock.now + IDLE_ONCE
+        stage.spin(lambda: stage.node.turns.clock.read() > edge)
+        client.most = 1  # not even where no other may be open
+        keyed = router.call("cadastro", unique=KEY)
+        stage.settle()
+        self.assertEqual((router.answers[keyed][0], len(stage.acervo.calls)), ("RESULT", 2))
+        stage.acervo.forget()
+        safe = router.call("busca")  # is made again, whatever becomes of it
+        stage.settle()
+        self.assertEqual((router.answers[safe][0], len(stage.acervo.calls)), ("RESULT", 3))
+
     def test_bytes_on_an_idle_connection_close_it(self) -> None:
         stage = self.stage(calls=1)
         router, client = stage.router(), stage.node.catalogue
