Begin a run by the time its calls take as well, so that a slow next tier is not wasted

Counters each half second: n0 gets 42 calls done in that time, enough for 28 requests, but serves 12 to 21, most of them late, with 100 requests open and 10 to 17 runs stopped. Ruled out: the catalogue's connections (no queue, calls_unreachable 0), the node's CPU (0.2 of a core). At fault: Policy.plan reckons a run's end by its core time alone ('spent' leaves calls out), and while the CPU is not high the node is not full, so it begins runs that must end past their aim.

The brain now learns how many calls a class makes and how long one takes (the age of those in hand tells at once that a tier slows; with none in hand nothing is assumed) and adds that to a run's expected end. The fullness test is untouched.

--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -40,13 +40,14 @@
 
     __slots__ = ("id", "lane", "kind", "tenant", "came", "due", "aim", "base", "kb", "retry", "state",
                  "since", "spent", "answered", "keyed", "hinted", "ran", "rate", "pausing", "recall",
-                 "spacing", "waited")
+                 "spacing", "waited", "left", "called")
 
     def __init__(self, e: Arrival, kind: api.Lane, came: float, due: float, aim: float, base: float) -> None:
         self.id, self.lane, self.kind, self.tenant, self.retry = e.id, e.lane, kind, e.tenant, e.retry
         self.came, self.due, self.aim, self.base, self.kb = came, due, aim, base, e.size_kb
         self.state = "held"  # held, running, paused, stalled (wants a call), calling, replaying
         self.since = self.spent = self.rate = self.recall = self.spacing = self.waited = 0.0
+        self.left, self.called = 0.0, 0  # when it came to its last call, and how many it has had
         self.answered = self.ran = self.pausing = False
         self.keyed, self.hinted = kind.effect is Effect.KEYED, e.work is not None
 
@@ -64,6 +65,8 @@
         }
         self.mean = [lane.aim * FIRST_WORK for lane in s.lanes]
         self.slow = 1.0 / s.cold_from if s.fresh_start else 1.0
+        self.calls_of = [0.0] * len(s.lanes)  # calls that a run of the class makes
+        self.call_time = 0.0  # from its coming to a call until the reply
         self.gap = self.cpu = self.lag = 0.0
         self.last_end = -1.0
         self.usual = [0.0] * (int(1.0 / AGED) + 3)  # share of arrivals by wait, in steps of AGED
@@ -225,6 +228,7 @@
         # else would ever be learned, and refusals would carry no promise.
         if j.state == "running" and e.outcome is Outcome.OK:
             self.learn(j, self.elapsed(j))
+            self.calls_of[j.lane] += LEARN * (j.called - self.calls_of[j.lane])
 
     def promise(self, j: Job) -> float:
         """The paper's DSRT: x past the last open promise, fewer than min(D-hat, floor(T-hat / x)) open."""
@@ -289,6 +293,9 @@
         if not held:
             return
         full, slow, cap = self.full(), self.slowness(), int(min(self.cap, self.ceiling()))
+        gone = [self.now - j.left for j in self.jobs.values() if j.state in ("stalled", "calling")]
+        # A tier that has slowed shows before its calls end; with none in hand nothing is known of it.
+        call = max(self.call_time, sum(gone) / len(gone)) if gone else 0.0
         big = self.s.run_factor
         runs = [j for j in self.jobs.values() if j.state in ("running", "stalled")]
         ends = sorted(self.now + self.rest(j) for j in runs)[-cap:]
@@ -311,16 +318,20 @@
         for j in held:
             start = ends[0]
             end, keep = start + j.base * slow - j.spent, j.state == "paused"
+            away_by = call * self.calls_of[j.lane]
             limit = min(j.due if j.kind.late_value > 0 and not full else j.aim, j.due, self.kill)
             if not (keep and j.keyed) and (limit <= self.now or (j.came > self.grace_end and not keep)):
                 self.refuse(j, inviting=False)
             # Hints are rough: on a server that is not full a run that looks too long costs nobody its place.
-            elif free > 0 and (keep or (end <= limit or not full) and self.fits(j.kb * (big - 1))):
+            # Where calls take long it does: it takes a call that another would end in time with.
+            elif free > 0 and (keep or (
+                end + away_by <= limit or not full and away_by < BOUND * (j.aim - j.came)
+            ) and self.fits(j.kb * (big - 1))):
                 free -= 1
                 runs.append(j)
                 self.run(j)
                 heapreplace(ends, end)
-            elif keep or start + (1.0 if j.hinted else MARGIN) * j.base * slow <= limit:
+            elif keep or start + away_by + (1.0 if j.hinted else MARGIN) * j.base * slow <= limit:
                 heapreplace(ends, end)
             else:
                 self.refuse(j)
@@ -377,13 +388,15 @@
 
     def call_needed(self, e: api.CallNeeded) -> None:
         if j := self.jobs.get(e.id):
-            j.spent, j.state = self.elapsed(j), "stalled"
+            j.spent, j.state, j.left = self.elapsed(j), "stalled", self.now
 
     def call_ended(self, e: api.CallEnded) -> None:
         if not (j := self.jobs.get(e.id)):
             return
         j.state, j.since = "running" if e.outcome is Outcome.OK else "stalled", self.now
         if e.outcome is Outcome.OK:
+            j.called += 1
+            self.call_time += LEARN * (self.now - j.left - self.call_time)
             self.call_most = max(e.duration, (1.0 - FORGET_MIX) * self.call_most)
         j.waited = e.duration if e.outcome is Outcome.TIMED_OUT else 0.0
         if e.outcome is Outcome.TIMED_OUT:
--- a/tests/test_lost_calls.py
+++ b/tests/test_lost_calls.py
@@ -59,6 +59,20 @@
         self.end(100, Outcome.OK, 350.0)
         self.assertGreater(self.call(101), 650.0)
 
+    def test_a_run_whose_calls_take_too_long_is_not_begun(self) -> None:
+        """Guards the calls of those that end in time: a slowed tier serves few, and they are not to be wasted."""
+        for n in range(100, 106):
+            self.step(api.Arrival(n))
+            self.step(api.CallNeeded(n))
+        self.assertIn(api.Admit(200), self.step(api.Arrival(200)))
+        self.step(api.Finished(200, 300.0, Outcome.OK))
+        self.now += 2100.0  # the six calls are still out, longer than a run may take in all
+        actions = self.step(api.Arrival(201))
+        self.assertTrue(any(isinstance(a, api.Refuse) and a.id == 201 for a in actions), actions)
+        for n in range(100, 106):
+            self.step(api.CallEnded(n, Outcome.OK, 2100.0))
+        self.assertIn(api.Admit(202), self.step(api.Arrival(202)), "with no call in hand nothing is known")
+
 
 if __name__ == "__main__":
     unittest.main()
