--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -293,8 +293,10 @@
         if not held:
             return
         full, slow, cap = self.full(), self.slowness(), int(min(self.cap, self.ceiling()))
-        gone = [self.now - j.left for j in self.jobs.values() if j.state in ("stalled", "calling")]
         # A tier that has slowed shows before its calls end; with none in hand nothing is known of it.
+        # A call that is taken to be lost tells no more than that.
+        gone = [min(self.now - j.left, CALL_LOST * self.call_most)
+                for j in self.jobs.values() if j.state in ("stalled", "calling")]
         call = max(self.call_time, sum(gone) / len(gone)) if gone else 0.0
         big = self.s.run_factor
         runs = [j for j in self.jobs.values() if j.state in ("running", "stalled")]
