Give a call in a later tier half of an aim, since the request above needs the rest

At fault: Policy.arrive gives a tier's requests their whole class aim whatever stands above them; settings' 'tier' was not read.

--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -32,6 +32,7 @@
 IDLE_SHARE = 0.25  # share of the callers' idle time that unused connections are kept, if callers return in it
 IDLE_LEAST = 10.0  # ms, the shortest time to keep one that the wire allows: "close it at once"
 CALL_LOST = 2.0  # times the longest of late (FORGET_MIX a call) from which a call is taken to be lost
+CALL_PART = 0.5  # share of an aim that a call for a request of the tier above may take
 RATE_SPAN = 5000.0  # ms over which the rate of arrivals is learned: a few dozen even at a few a second
 
 
@@ -58,7 +59,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         s = self.s = settings
         self.now, self.begun, self.out, self.jobs = 0.0, -1.0, list[Action](), dict[int, Job]()
-        self.aim = min(lane.aim for lane in s.lanes)
+        self.part = CALL_PART if s.tier > 0 else 1.0
+        self.aim = min(lane.aim for lane in s.lanes) * self.part
         self.on: dict[type, Callable[[Any], None]] = {
             Arrival: self.arrive, api.Finished: self.finish, api.Woken: self.sample, api.Drain: self.drain,
             api.Abandoned: self.abandon, api.CallNeeded: self.call_needed, api.CallEnded: self.call_ended,
@@ -165,7 +167,7 @@
         self.rate_at = self.now
         base = max(e.work, 0.001) if e.work is not None else self.mean[e.lane]
         due = self.now + e.remaining if e.remaining is not None else max(came + lane.deadline, self.now)
-        reach = min(lane.aim + lane.aim_stretch * base, lane.deadline)
+        reach = min(self.part * (lane.aim + lane.aim_stretch * base), lane.deadline)
         j = Job(e, lane, came, due, self.now + reach - self.first_try_age(e), base)
         self.jobs[j.id] = j
         if e.tenant < len(self.team_rate):
--- a/lemonway/interface.py
+++ b/lemonway/interface.py
@@ -92,6 +92,7 @@
     deep_checks: bool = False
     caller_idle: float = 0.0
     callers: int = 1
+    tier: int = 0  # its place among the tiers; those past the first serve the calls of the one before
     fleet: int = 1
     meters: tuple[str, ...] = ()
     below: str = "off"
--- a/lemonway/settings.py
+++ b/lemonway/settings.py
@@ -124,6 +124,7 @@
         deep_checks=pairs.flag(fam + "deepChecks", neutral.deep_checks),
         caller_idle=pairs.number(fam + "callerIdle", neutral.caller_idle),
         callers=int(pairs.number(fam + "upstreams", neutral.callers)),
+        tier=int(pairs.number("tier", neutral.tier)),
         fleet=int(pairs.number("fleetSize", neutral.fleet)),
         meters=tuple(pairs.row(fam + "meters")),
         below=pairs.word(fam + "below", neutral.below),
--- a/tests/test_lost_calls.py
+++ b/tests/test_lost_calls.py
@@ -7,6 +7,7 @@
 from lemonway import Policy, Settings
 from lemonway import interface as api
 from lemonway.interface import Effect, Lane, Outcome
+from lemonway.settings import read_settings
 
 
 class LostCalls(unittest.TestCase):
@@ -83,5 +84,19 @@
         self.assertIn(api.Admit(200), self.step(api.Arrival(200)))
 
 
+class LaterTier(unittest.TestCase):
+    def test_a_call_has_only_part_of_the_aim_of_the_request_above(self) -> None:
+        for tier, refused in [(0, False), (1, True)]:
+            with self.subTest(tier=tier):
+                settings = read_settings({
+                    "tier": str(tier), "lanes.count": "1", "lanes.0.aim": "1000", "lanes.0.deadline": "4000",
+                    "familyInfo.cores": "1", "rules.fallMultiple": "1"})
+                policy = Policy(settings, 1)
+                first = policy.step(0.0, [api.Arrival(1), api.Arrival(2)])
+                self.assertEqual([a.id for a in first if isinstance(a, api.Admit)], [1])
+                later = policy.step(600.0, [api.Woken(1)])
+                self.assertEqual(any(isinstance(a, api.Refuse) and a.id == 2 for a in later), refused)
+
+
 if __name__ == "__main__":
     unittest.main()
