Add a fleet emulator in virtual time and the command lemonway that plays scenarios on it

The emulator drives the shipped core and policy through net/ports.py under a virtual clock (Clock takes its time sources; Node may be handed one). Machines share cores among all that runs, warm up, thrash, book memory and fall over; routers pick by seven habits, retry, heed advice and see a late list; clients ask twice at most; troubles crash, slow, deploy, cut links and spoil acervo. Thirteen scenarios are shipped. The command is on click, scenarios on pydantic (with a schema), tables on rich, logs on logfmter and python-json-logger; the node's own settings file (deploy/node.json) picks the log's form.

--- /dev/null
+++ b/lemonway/kit/cli.py
@@ -0,0 +1,197 @@
+"""The command ``lemonway``: what people touch. It parses and prints; what it runs is elsewhere.
+
+Weighed: typer needs click and more, and hides the types of what it calls; argparse has no groups worth the name."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
+
+from ..net.program import logs
+from .emulator import report, scenario
+from .emulator.day import play
+
+OK, BROKEN, BAD_INPUT = 0, 1, 2
+
+
+def fail(message: object) -> None:
+    click.echo(f"lemonway: {message}", err=True)
+    sys.exit(BAD_INPUT)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--log-json", is_flag=True, help="Log JSON lines instead of key=value.")
+@click.option("--verbose", is_flag=True, help="Log what goes on, not only what goes wrong.")
+@click.version_option(package_name="lemonway")
+@click.pass_context
+def main(ctx: click.Context, log_json: bool, verbose: bool) -> None:
+    """The image node and its rehearsal kit."""
+    ctx.obj = log_json
+    if ctx.invoked_subcommand != "serve":
+        logs.set_up("json" if log_json else "logfmt", logging.INFO if verbose else logging.WARNING)
+
+
+@main.command()
+@click.option("--uwsgi", type=click.Path(dir_okay=False), help="Also serve the uwsgi protocol as this file says.")
+@click.option("--settings", type=click.Path(dir_okay=False), help="The node's own settings (deploy/node.json).")
+@click.pass_context
+def serve(ctx: click.Context, uwsgi: str | None, settings: str | None) -> None:
+    """Run a node, as `python -m lemonway` does; EDGE_CONFIG names its configuration."""
+    from ..net.program.start import main as start
+
+    argv = ["--log-json"] if ctx.obj else []
+    sys.exit(start(argv + (["--uwsgi", uwsgi] if uwsgi else []) + (["--settings", settings] if settings else [])))
+
+
+def play_one(name: str, seed: int, keep: str | None) -> dict[str, Any]:
+    """One day, to its figures; runs in a process of its own where several are played."""
+    data, _ = _play(scenario.load(name), seed, keep, None)
+    return data
+
+
+def _play(
+    plan: scenario.Scenario, seed: int, keep: str | None, progress: Callable[[float], None] | None,
+) -> tuple[dict[str, Any], None]:
+    result = play(plan, seed, keep=keep is not None, progress=progress)
+    if keep is not None:
+        with open(keep, "w", encoding="utf-8") as file:
+            file.writelines(line + "\n" for line in report.trace(result))
+    return report.figures(result), None
+
+
+@main.command()
+@click.argument("scenario_", metavar="SCENARIO")
+@click.option("--seed", type=click.IntRange(0), help="In place of the scenario's own.")
+@click.option("--seeds", type=click.IntRange(1, 1000), help="Play so many days, of this seed and those after it.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=1, show_default=True, help="Days played at a time.")
+@click.option("--json", "json_", type=click.Path(dir_okay=False), help="Write the figures to this file ('-': print).")
+@click.option("--trace", type=click.Path(dir_okay=False), help="Write the life of each try as JSON lines.")
+def rehearse(
+    scenario_: str, seed: int | None, seeds: int | None, jobs: int, json_: str | None, trace: str | None,
+) -> None:
+    """Play a day of a fleet in virtual time and report the service.
+
+    SCENARIO is a file or the name of a shipped one (`lemonway scenario list`). Ends with 0 if all rules were kept, 1 if
+    one was broken, 2 on bad input."""
+    try:
+        plan = scenario.load(scenario_)
+    except scenario.ScenarioError as error:
+        fail(error)
+        return
+    first = plan.seed if seed is None else seed
+    if seeds is not None and trace is not None:
+        fail("--trace goes with one seed")
+    data: dict[str, Any]
+    try:
+        if seeds is None:
+            with _bar(plan.title) as tell:
+                data, _ = _play(plan, first, trace, tell)
+        else:
+            data = report.summary(_play_all(scenario_, range(first, first + seeds), jobs, plan.title))
+        if json_ is not None and json_ != "-":
+            Path(json_).write_text(report.to_json(data), encoding="utf-8")
+    except OSError as error:
+        fail(f"{error.filename}: {error.strerror}")
+    if json_ == "-":
+        click.echo(report.to_json(data), nl=False)
+    else:
+        (report.render if seeds is None else report.render_summary)(data, Console(highlight=False, soft_wrap=True))
+    days = [data] if seeds is None else data["days"]
+    sys.exit(BROKEN if any(sum(day["rules"].values()) for day in days) else OK)
+
+
+def _play_all(name: str, seeds: Sequence[int], jobs: int, title: str) -> list[dict[str, Any]]:
+    """In the order of the seeds, whatever the order in which they end."""
+    rows: dict[int, dict[str, Any]] = {}
+    with _bar(title) as tell, ProcessPoolExecutor(min(jobs, len(seeds)), get_context("spawn")) as pool:
+        running = {pool.submit(play_one, name, seed, None): seed for seed in seeds}
+        for future in as_completed(running):
+            rows[running[future]] = future.result()
+            tell(len(rows) / len(seeds))
+    return [rows[seed] for seed in seeds]
+
+
+class _bar:
+    """A progress bar on a terminal, nothing in a pipe."""
+
+    def __init__(self, title: str) -> None:
+        console = Console(stderr=True)
+        self.progress = Progress(TextColumn("{task.description}"), BarColumn(), TimeRemainingColumn(), console=console,
+                                 transient=True, disable=not console.is_terminal)
+        self.title = title
+
+    def __enter__(self) -> Callable[[float], None]:
+        self.progress.start()
+        task = self.progress.add_task(self.title, total=1.0)
+        return lambda share: self.progress.update(task, completed=share)
+
+    def __exit__(self, *_: object) -> None:
+        self.progress.stop()
+
+
+@main.group("scenario")
+def scenarios() -> None:
+    """Scenario files."""
+
+
+@scenarios.command("list")
+def scenario_list() -> None:
+    """The shipped scenarios."""
+    for name in scenario.shipped_names():
+        click.echo(f"{name:20} {scenario.load(name).title}")
+
+
+@scenarios.command("check")
+@click.argument("files", metavar="SCENARIO...", nargs=-1, required=True)
+def scenario_check(files: tuple[str, ...]) -> None:
+    """Check scenario files; the first that makes no sense is told in one line."""
+    for file in files:
+        try:
+            plan = scenario.load(file)
+        except scenario.ScenarioError as error:
+            fail(error)
+            return
+        click.echo(f"{file}: {plan.title}: {plan.seconds:g} s, {plan.fleet.nodes} nodes, {len(plan.trouble)} troubles")
+
+
+@scenarios.command("schema")
+def scenario_schema() -> None:
+    """Print the JSON Schema of scenario files."""
+    click.echo(report.to_json(scenario.schema()), nl=False)
+
+
+@main.group("import")
+def import_() -> None:
+    """Read other programs' configurations."""
+
+
+@import_.command("nginx", context_settings={"ignore_unknown_options": True, "allow_interspersed_args": False})
+@click.argument("args", nargs=-1, type=click.UNPROCESSED)
+def import_nginx(args: tuple[str, ...]) -> None:
+    """nginx upstream and location blocks (`lemonway import nginx -- --help` for its options)."""
+    from .nginx import main as run
+
+    sys.exit(run(list(args)))
+
+
+@main.command()
+@click.argument("script", type=click.Path(dir_okay=False))
+@click.option("--only", metavar="NAME", help="The one case to play.")
+def cases(script: str, only: str | None) -> None:
+    """Play scripted cases of one node on loopback sockets."""
+    from .__main__ import main as run
+
+    sys.exit(run([script, *(["--only", only] if only else [])]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lemonway/kit/emulator/day.py
@@ -0,0 +1,355 @@
+"""Plays a day: builds the fleet of a scenario, puts its troubles and its traffic on the loop, lets it run, and gives
+what came of it. Nothing is decided here."""
+
+from __future__ import annotations
+
+import gc
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ...interface import Advice, Effect, Halt, Lane, Settings, Tenant
+from ...net.program.bounds import bounds_of
+from ...net.routing.core import Core
+from .audit import Audit, LifeBook
+from .clients import Clients
+from .membership import AnnounceService, View
+from .node import Calls, CoreMaker, Life, Totals
+from .recovery.keeper import Happening, Keeper, Network
+from .recovery.troubles import Plan, Troubles
+from .requests import Request, Try
+from .routing.router import Habit, Router
+from .scenario import Draw, Kind, Scenario
+from .service import Asked, Goal, Service, serve
+from .state.machine import Build, Machine
+from .traffic import HOLD_KB, Mix, draw_requests, mix_of, quotas
+from .virtual import START, Loop, Streams, Uniform
+
+SECOND = 1_000_000
+TAIL = 5 * SECOND  # past the last deadline, for what is still to be told
+METERS = ("cpu_busy", "runnable", "mem_used", "sockets")
+MEMORY_MB, SOCKETS = 192, 1024  # a node's own limits (DEPLOY)
+SPEED_LEAST, SPEED_MOST = 0.25, 4.0  # of its kind's mean, that one machine may draw
+
+
+@dataclass
+class Result:
+    """What came of a day."""
+
+    scenario: Scenario
+    seed: int
+    service: Service
+    requests: list[Request]
+    tries: list[Try]
+    audit: Audit
+    books: list[LifeBook]
+    happened: list[Happening]
+    mix: Mix
+    capacity: float  # requests a second that the first tier's cores can do
+    events: int
+    outcomes: Counter[str] = field(default_factory=Counter)
+    routers: Counter[str] = field(default_factory=Counter)
+    nodes: Counter[str] = field(default_factory=Counter)  # the cores' own counters, first tier
+    below: Counter[str] = field(default_factory=Counter)  # the same of the next tier
+    keeper: Counter[str] = field(default_factory=Counter)
+    totals: list[Totals] = field(default_factory=list)
+    most_crowd: float = 0.0
+    most_memory: float = 0.0
+    sizes: tuple[int, int] = (0, 0)
+
+
+class World:
+    """The fleet of one day. It is what ``recovery.troubles.Struck`` strikes."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int, make_core: CoreMaker = Core, keep: bool = False,
+    ) -> None:
+        """``make_core`` builds each node's core; ``keep`` keeps every try, for a trace."""
+        self.scenario, self.make_core, self.keep = scenario, make_core, keep
+        self.streams = Streams(seed)
+        self.draw = Draw(self.streams)
+        self.loop = Loop()
+        self.mix = mix_of(scenario, self.draw)
+        self.call_work = self.draw("acervo.work", scenario.acervo.work)
+        self.reading = self.draw("fleet.reading", scenario.fleet.reading)
+        rules = scenario.rules
+        self.number = 0
+        self.all_tries: list[Try] = []
+        front = [f"entrega-{n}" for n in range(scenario.fleet.nodes)]
+        ratio = self.draw("acervo.ratio", scenario.acervo.ratio)
+        below = scenario.acervo.nodes if scenario.acervo.nodes is not None else max(1, round(ratio * len(front)))
+        self.tiers = (front, [f"acervo-{n}" for n in range(below)])
+        if not below:
+            self.call_work = 0.0
+        self.builds: dict[str, Build] = {}
+        for tier, kinds in ((0, scenario.fleet.kinds), (1, scenario.acervo.kinds)):
+            self._draw_builds(self.tiers[tier], kinds, tier)
+        self.capacity = sum(b.cores * b.speed for b in self._of(0)) * 1000 / (
+            self.mix.mean_work * (1.0 + self.reading))
+        self.settings = [self._settings(tier) for tier in (0, 1)]
+        self.machines = {name: Machine(self.loop, name, self.builds[name]) for row in self.tiers for name in row}
+        self.audits = [Audit(settings) for settings in self.settings]
+        self.totals = [Totals(), Totals()]
+        self.books: list[LifeBook] = []
+        self.lost_counters: list[Counter[str]] = [Counter(), Counter()]
+        self.services = [AnnounceService(self.loop, row) for row in self.tiers]
+        self.keeper = Keeper(self.loop, self._make)
+        self.delays: dict[int, int] = {}
+        self.network = Network(self.loop, self.keeper, self.delays)
+        self.bounds = bounds_of(SOCKETS, MEMORY_MB)
+        self.calls_state = "ok"
+        self.deadlines = [int(c.deadline_ms * 1000) for c in scenario.classes]
+        self.heeded = int(rules.heeded_ms * 1000)
+        self.lives_begun: Counter[str] = Counter()
+        self.routers = self._make_routers()
+        self.proxies = {name: self._make_proxy(name, n) for n, name in enumerate(front)} if below else {}
+
+    def _of(self, tier: int) -> list[Build]:
+        return [self.builds[name] for name in self.tiers[tier]]
+
+    def next_number(self) -> int:
+        self.number += 1
+        return self.number
+
+    # drawing
+
+    def _draw_builds(self, names: list[str], kinds: tuple[Kind, ...], tier: int) -> None:
+        """Kinds go to machines by their shares, evenly spread; speeds vary within a kind."""
+        fleet, rules = self.scenario.fleet, self.scenario.rules
+        total = sum(kind.share for kind in kinds)
+        owed = [0.0] * len(kinds)
+        runs = self.draw("fleet.memory_runs", fleet.memory_runs)
+        hold = sum(HOLD_KB) / 2
+        room = self.draw("fleet.key_room", fleet.key_room)
+        keyed = sum(s for s, c in zip(self.mix.share, self.scenario.classes, strict=True) if c.effect == "keyed")
+        for name in names:
+            owed = [o + kind.share / total for o, kind in zip(owed, kinds, strict=True)]
+            pick = max(range(len(kinds)), key=lambda n: owed[n])
+            owed[pick] -= 1.0
+            kind = kinds[pick]
+            key = f"tier{tier}.{kind.name}"
+            speed, spread = self.draw(f"{key}.speed", kind.speed), self.draw(f"{key}.speed_cv", kind.speed_cv)
+            factor = float(self.streams[f"machine/{name}"].normal(1.0, spread)) if spread else 1.0
+            speed *= min(SPEED_MOST, max(SPEED_LEAST, factor))
+            cold_us = int(self.draw(f"{key}.cold_s", kind.cold_s) * SECOND)
+            memory = runs * kind.cores * fleet.run_factor * hold
+            work = self.mix.mean_work * (1.0 if tier == 0 else max(self.call_work, 0.01))
+            window_keys = kind.cores * speed * 1000 / work * keyed * rules.window_ms / 1000
+            self.builds[name] = Build(
+                kind.name, kind.cores, speed, self.draw(f"{key}.thrash", kind.thrash),
+                self.draw(f"{key}.thrash_at", kind.thrash_at), self.draw(f"{key}.cold_from", kind.cold_from), cold_us,
+                kind.cores * speed * cold_us / 2000 if kind.warm_by == "requests" else 0.0,
+                memory, fleet.run_factor, room * memory / window_keys if window_keys > 0 else 0.0,
+                rules.fall_multiple, int(rules.fall_ms * 1000))
+
+    def _settings(self, tier: int) -> Settings:
+        """What a node of a tier is told. It is told nothing that the operators' settings do not tell."""
+        s, rules = self.scenario, self.scenario.rules
+        builds = self._of(tier)
+        mean_keys = sum(b.kb_per_key for b in builds) / len(builds) if builds else 0.0
+        quota = quotas(s, self.capacity, self.draw)
+        cold = [(b.cold_from, b.cold_us) for b in self.builds.values()]
+        return Settings(
+            lanes=[Lane(c.name, c.aim_ms, 0.0, c.deadline_ms, Effect(c.effect), c.worth, c.late_worth,
+                        rules.window_ms, bool(self.call_work) and tier == 0) for c in s.classes],
+            tenants=[Tenant(t.name, quota[n], t.share) for n, t in enumerate(s.tenants)],
+            cores=builds[0].cores if builds else 1, memory_kb=min((b.memory_kb for b in builds), default=0.0),
+            run_factor=s.fleet.run_factor, kb_per_key=mean_keys, halt=Halt.DROP, advice=Advice.MIN_RANK,
+            advice_heeded=rules.heeded_ms, retry_after=rules.retry_after_ms > 0,
+            max_retry_after=rules.retry_after_ms, marks_retry=rules.marks_retry, caller_idle=15000.0,
+            callers=s.routers.count, tier=tier, fleet=max(1, len(builds)), meters=METERS,
+            below="next_hop" if self.call_work and tier == 0 else "off",
+            cold_time=max(us for _, us in cold) / 1000, cold_from=min(share for share, _ in cold),
+            crowd=rules.fall_multiple, crowd_window=rules.fall_ms, answer_grace=rules.answer_grace_ms,
+            drain_grace=rules.drain_grace_ms, worth_by_work=True, over_share_worth=Goal.beyond,
+            weight_whole=Goal.whole, weight_window=Goal.window, weight_class=Goal.lane, weight_tenant=Goal.tenant,
+            tick=5.0,
+        )
+
+    # routers
+
+    def _make_routers(self) -> list[Router]:
+        s = self.scenario.routers
+        total = sum(row.share for row in s.habits)
+        owed = [0.0] * len(s.habits)
+        heeding = [0.0] * len(s.habits)  # by habit: how many of its routers ought to heed and don't yet
+        routers = []
+        for n in range(1, s.count + 1):
+            owed = [o + row.share / total for o, row in zip(owed, s.habits, strict=True)]
+            pick = max(range(len(s.habits)), key=lambda i: owed[i])
+            owed[pick] -= 1.0
+            row = s.habits[pick]
+            heeding[pick] += row.heeds
+            heeds = heeding[pick] >= 0.5
+            heeding[pick] -= heeds
+            habit = Habit(row.pick, row.retry, row.retry_share, row.patience, heeds, row.copies, row.checks,
+                          row.ejects, row.throttles)
+            routers.append(self._make_router(n, f"router/{n}", 0, habit, s.list_lag_s))
+        return routers
+
+    def _make_proxy(self, name: str, n: int) -> Router:
+        return self._make_router(100_000 + n, f"proxy/{name}", 1, Habit(self.scenario.acervo.pick),
+                                 self.scenario.routers.list_lag_s)
+
+    def _make_router(self, number: int, name: str, tier: int, habit: Habit, lag: tuple[float, float]) -> Router:
+        uniform = Uniform(self.streams[name])
+        view = View(self.services[tier], Uniform(self.streams[f"{name}/list"]), lag)
+        span = self.scenario.routers.delay_ms
+        low, high = span if isinstance(span, tuple) else (span, span)
+        self.delays[number] = int(Uniform(self.streams[f"{name}/delay"]).between(low, high) * 1000)
+        weights = {name: self.builds[name].cores * self.builds[name].speed for name in self.tiers[tier]}
+        return Router(self.loop, number, habit, view, self.network, uniform, self.next_number,
+                      self.deadlines, self.heeded, weights)
+
+    # nodes
+
+    def _make(self, name: str, cold: bool) -> Life:
+        tier = int(name not in self.tiers[0])
+        self.lives_begun[name] += 1
+        seed = self.streams.number(f"node/{name}/{self.lives_begun[name]}")
+        life = Life(
+            self.loop, self.machines[name], self.settings[tier], seed, cold, self.bounds, self.audits[tier],
+            self.totals[tier], self.reading * self.mix.mean_work * (1.0 if tier == 0 else self.call_work),
+            self.services[tier], self._ended, self.make_core)
+        if tier == 0 and self.proxies:
+            life.calls = life.core.catalogue = Calls(life, self.proxies[name], self.next_number)
+            life.calls.state = self.calls_state
+        self.books.append(life.book)
+        return life
+
+    def _ended(self, life: Life, how: str) -> None:
+        self._gather(life)
+        self.keeper.ended(life, how)
+
+    def _gather(self, life: Life) -> None:
+        tier = int(life.name not in self.tiers[0])
+        self.lost_counters[tier].update(life.core.counters)
+        self.lost_counters[tier]["loop_faults"] += life.turns.faults
+        if self.keep:
+            self.all_tries.extend(life.known.values())
+
+    def _life(self, name: str) -> Life | None:
+        life = self.keeper.lives.get(name)
+        return life if isinstance(life, Life) and not life.dead else None
+
+    # what troubles do
+
+    def set_factor(self, name: str, factor: float) -> None:
+        self.machines[name].cores.set_factor(factor)
+
+    def set_calls(self, state: str) -> None:
+        self.calls_state = state
+        for life in self.keeper.lives.values():
+            if isinstance(life, Life) and life.calls is not None:
+                life.calls.state = state
+
+    def deafen(self, name: str) -> None:
+        if life := self._life(name):
+            life.pool.deaf = True
+
+    def break_link(self, name: str) -> None:
+        if life := self._life(name):
+            life.pool.break_link()
+
+    def link(self, name: str) -> None:
+        if life := self._life(name):
+            life.pool.link()
+
+    # the day
+
+    def plans(self) -> list[tuple[Plan, list[int], int]]:
+        """The troubles with their figures drawn, the classes (none = all) and the museum (-1 = all) of a burst."""
+        rows = []
+        for n, t in enumerate(self.scenario.trouble):
+            key = f"trouble.{n}"
+            plan = Plan(
+                t.kind, START + int(self.draw(f"{key}.at", t.at) * SECOND),
+                int(self.draw(f"{key}.seconds", t.seconds) * SECOND), self.draw(f"{key}.part", t.part),
+                self.draw(f"{key}.size", t.size), int(t.tier == "acervo"), t.state,
+                int(t.every_s * SECOND) if t.kind == "link" else 0, int(self.scenario.rules.stop_ms * 1000))
+            lanes = [i for i, c in enumerate(self.scenario.classes) if c.name in t.classes]
+            museum = next((i for i, team in enumerate(self.scenario.tenants) if team.name == t.tenant), -1)
+            rows.append((plan, lanes, museum))
+        return rows
+
+    def play(self, progress: Callable[[float], None] | None = None) -> Result:
+        """``progress`` is told the share of the day that is over, once a second of it."""
+        plans = self.plans()
+        bursts = [row for row in plans if row[0].kind == "burst"]
+        requests = draw_requests(
+            self.scenario, self.streams, self.draw, self.mix, self.capacity, bursts, self.call_work)
+        self.number = len(requests)
+        troubles = Troubles(self.loop, self.keeper, self, self.tiers)
+        for n, (plan, _, _) in enumerate(plans):
+            troubles.set(plan, self.streams[f"trouble/{n}"])
+        for tier, row in enumerate(self.tiers):
+            for name in row:
+                self.services[tier].seed(name)
+                self.keeper.start(name, False)
+        clients = Clients(self.loop, requests, self.routers)
+        ended: dict[int, int] = {}
+        clients.finished = lambda request: ended.__setitem__(request.number, self.loop.now)
+        clients.start()
+        end = START + int(self.scenario.seconds * SECOND) + max(self.deadlines) + TAIL
+        over = START + int(self.scenario.seconds * SECOND)
+        self.loop.run(end, lambda now: self._rest(now, over, clients, progress))
+        for tier, names in enumerate(self.tiers):
+            for name in names:
+                if life := self._life(name):
+                    self._gather(life)
+            mine = set(names)
+            self.audits[tier].close([b for b in self.books if b.node in mine], self.loop.now)
+        return self._result(requests, ended)
+
+    def _rest(
+        self, now: int, over: int, clients: Clients, progress: Callable[[float], None] | None,
+    ) -> bool:
+        """Once a second: True when nothing is left to happen, a little before the last deadline has passed."""
+        if progress is not None:
+            progress(min(1.0, (now - START) / (over - START)))
+        return now > over and not clients.pending and not any(
+            isinstance(life, Life) and (life.open or life.pool.runs or life.leaving) and not life.dead
+            for life in self.keeper.lives.values())
+
+    def _result(self, requests: list[Request], ended: dict[int, int]) -> Result:
+        s = self.scenario
+        goal = Goal(
+            tuple(int(c.aim_ms * 1000) for c in s.classes), tuple(c.worth for c in s.classes),
+            tuple(c.late_worth for c in s.classes))
+        asked, useful, outcomes = [], 0.0, Counter[str]()
+        for r in requests:
+            served = r.served_at - r.asked if r.served_at >= 0 else -1
+            asked.append(Asked(r.asked - START, r.lane, r.tenant, r.work, r.inside, served,
+                               ended.get(r.number, r.until) - r.asked if served < 0 else -1))
+            outcomes[r.outcome] += 1
+            if served >= 0:
+                useful += r.work + self.reading * self.mix.mean_work
+        done = self.totals[0].run + self.totals[0].read
+        service = serve(asked, goal, len(s.tenants), int(-(-s.seconds // 1)), max(0.0, done - useful))
+        audit = self.audits[0]
+        audit.breaches += self.audits[1].breaches
+        audit.checked += self.audits[1].checked
+        routers: Counter[str] = Counter()
+        for router in self.routers:
+            routers.update(router.counters)
+        return Result(
+            s, self.streams.seed, service, requests, sorted(self.all_tries, key=lambda t: t.number), audit, self.books,
+            self.keeper.happened, self.mix, self.capacity, self.loop.events, outcomes, routers,
+            self.lost_counters[0], self.lost_counters[1], self.keeper.counters, self.totals,
+            max(m.most_crowd for m in self.machines.values()), max(m.most_memory for m in self.machines.values()),
+            (len(self.tiers[0]), len(self.tiers[1])))
+
+
+def play(
+    scenario: Scenario, seed: int, make_core: CoreMaker = Core, keep: bool = False,
+    progress: Callable[[float], None] | None = None,
+) -> Result:
+    """Play one day. The collector of cyclic rubbish rests meanwhile: a day leaves little of it and much to look at."""
+    enabled: Any = gc.isenabled()
+    gc.disable()
+    try:
+        return World(scenario, seed, make_core, keep).play(progress)
+    finally:
+        if enabled:
+            gc.enable()
--- /dev/null
+++ b/lemonway/kit/emulator/scenario.py
@@ -0,0 +1,326 @@
+"""Scenario files: a fleet and a day, as TOML, checked against one typed model from which the published JSON Schema
+comes. It must not know how a day is played. Every figure has the value of the operators' brief as its default, so that
+a file says only what is particular to its day.
+
+A figure given as ``[low, high]`` is drawn evenly between the two before the day begins, from a stream named after its
+key. Weighed for the model: msgspec is smaller and faster, pydantic names the key in each message and writes the schema
+with its bounds; files are read once a day, so speed does not count."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Sequence
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from .virtual import Streams
+
+SCHEMA_VERSION = 1
+
+Span = Annotated[float, Field(ge=0)] | Annotated[tuple[float, float], Field(description="low, high")]
+Share = Annotated[float, Field(ge=0, le=1)]
+Pick = Literal["round", "least", "two", "weighted", "key", "fastest", "told"]
+
+
+class ScenarioError(Exception):
+    """A file that makes no sense; the message is one line that names the file and the key."""
+
+
+class Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+def _ordered(*spans: Any) -> None:
+    for span in spans:
+        if isinstance(span, tuple) and not 0 <= span[0] <= span[1]:
+            raise ValueError(f"{list(span)} is no [low, high] of numbers of 0 or more")
+
+
+class Kind(Model):
+    """A kind of machine. ``speed`` is that of one core against the standard one; ``speed_cv`` its spread among
+    machines."""
+
+    name: str = "entrega"
+    share: float = Field(1.0, gt=0, description="of the tier's machines, against the other kinds' shares")
+    cores: int = Field(6, ge=1, le=256)
+    speed: Span = 1.0
+    speed_cv: Span = 0.0
+    thrash: Span = Field(0.0, description="how fast the total falls past the crowd: 1 / (1 + thrash x excess)")
+    thrash_at: Span = Field(3.0, description="running requests a core past which it falls")
+    cold_from: Span = Field(1.0, description="share of full speed at a cold start")
+    cold_s: Span = Field(0.0, description="seconds until it is warm")
+    warm_by: Literal["time", "requests"] = "time"
+
+    @model_validator(mode="after")
+    def _check(self) -> Kind:
+        _ordered(self.speed, self.speed_cv, self.thrash, self.thrash_at, self.cold_from, self.cold_s)
+        return self
+
+
+LENTA = Kind(name="entrega-lenta", share=2, speed=(0.5, 0.7), speed_cv=(0.08, 0.23), thrash=(0.2, 0.49),
+             thrash_at=(1.9, 4.2), cold_from=(0.28, 0.47), cold_s=(5.3, 16))
+RAPIDA = Kind(name="entrega-rapida", share=1, speed=(1.1, 1.5), speed_cv=(0.08, 0.23), thrash=(0.17, 0.49),
+              thrash_at=(1.7, 4.8), cold_from=(0.23, 0.5), cold_s=(5, 14), warm_by="requests")
+PADRAO = Kind(name="acervo-padrao", share=1, speed=(0.85, 1.15), speed_cv=(0.05, 0.25), thrash=(0.12, 0.41),
+              thrash_at=(1.8, 4.1), cold_from=(0.3, 0.47), cold_s=(6.3, 14), warm_by="requests")
+
+
+class Fleet(Model):
+    nodes: int = Field(16, ge=1, le=2000)
+    kinds: tuple[Kind, ...] = Field((LENTA, RAPIDA), min_length=1)
+    reading: Span = Field((0.18, 0.22), description="work of reading a request, as a share of the mean work")
+    memory_runs: Span = Field((11, 20), description="running requests a core that fill the memory")
+    key_room: Span = Field((0.13, 0.32), description="share of memory that all keys of a window at full load take")
+    run_factor: float = Field(16.0, ge=1)
+
+
+class Acervo(Model):
+    """The next tier."""
+
+    nodes: int | None = Field(None, ge=0, le=2000, description="its nodes; absent: by ratio; 0: there is no such tier")
+    ratio: Span = (0.63, 1.1)
+    work: Span = Field((0.37, 0.58), description="work of a call, as a share of the mean work of its class")
+    kinds: tuple[Kind, ...] = Field((PADRAO,), min_length=1)
+    pick: Pick = "two"
+
+
+class HabitRow(Model):
+    """How some routers behave. ``retry``: none, budget (a share of first tries) or unlimited (on through the list)."""
+
+    share: float = Field(1.0, gt=0)
+    pick: Pick = "round"
+    retry: Literal["none", "budget", "unlimited"] = "unlimited"
+    retry_share: Share = 0.2
+    patience: float = Field(1.0, gt=0, le=1, description="how long one try is waited for, of the class's deadline")
+    heeds: Share = Field(0.9, description="share of these routers that heed what a node tells them")
+    copies: bool = False
+    checks: bool = False
+    ejects: bool = False
+    throttles: bool = False
+
+
+class Routers(Model):
+    count: int = Field(4, ge=1, le=500)
+    delay_ms: Span = (0.42, 0.78)
+    list_lag_s: tuple[float, float] = (1.0, 2.0)
+    habits: tuple[HabitRow, ...] = Field((HabitRow(pick="round"), HabitRow(pick="least")), min_length=1)
+
+    @model_validator(mode="after")
+    def _check(self) -> Routers:
+        _ordered(self.delay_ms, self.list_lag_s)
+        return self
+
+
+class Clients(Model):
+    retry: Share = Field(0.5, description="share of clients that ask a second time, once, unmarked")
+    pause_ms: tuple[float, float] = (50, 400)
+
+
+class Traffic(Model):
+    load: Span | None = Field(None, description="work asked for, as a share of what the first tier's cores can do; 0.6")
+    rate: Span | None = Field(None, description="requests a second, in place of load")
+    swing: Span = Field(0.0, description="height of a slow wave, as a share of the rate")
+    wave_s: float = Field(20.0, gt=0)
+    keys: Span = (3900, 28000)
+    zipf: Span = (0.81, 1.1)
+    hints: float = Field(0.35, ge=0, description="spread of the cost hints, as a coefficient of variation")
+    quota: Span = Field((0.61, 0.97), description="all museums' shares together, of what the cores can do")
+
+    @model_validator(mode="after")
+    def _check(self) -> Traffic:
+        _ordered(self.load, self.rate, self.swing, self.keys, self.zipf, self.quota)
+        if self.load is not None and self.rate is not None:
+            raise ValueError("wants one of load and rate")
+        return self
+
+
+class Class(Model):
+    name: str
+    share: float = Field(gt=0)
+    work_ms: Span
+    cv: Span = (0.5, 1.0)
+    wait_ms: tuple[float, float] = Field((0, 0), description="waits for others than acervo")
+    calls: tuple[int, int] = (1, 1)
+    aim_ms: float = Field(gt=0)
+    deadline_ms: float = Field(gt=0)
+    worth: float = Field(1.0, gt=0)
+    late_worth: Share = 0.0
+    effect: Literal["safe", "keyed"] = "safe"
+
+    @model_validator(mode="after")
+    def _check(self) -> Class:
+        _ordered(self.work_ms, self.cv, self.wait_ms, self.calls)
+        if self.aim_ms > self.deadline_ms:
+            raise ValueError("aim_ms is past deadline_ms")
+        if self.calls[1] > 8:
+            raise ValueError("calls: 8 at most")
+        return self
+
+
+CLASSES = (
+    Class(name="miniatura", share=0.31, work_ms=(208, 352), cv=(0.45, 0.95), wait_ms=(124, 297), calls=(1, 2),
+          aim_ms=5400, deadline_ms=16000, worth=1),
+    Class(name="visualizador", share=0.30, work_ms=(208, 352), cv=(0.64, 1.0), wait_ms=(81, 192), aim_ms=2700,
+          deadline_ms=6800, worth=2, late_worth=0.2),
+    Class(name="busca", share=0.23, work_ms=(208, 352), cv=(0.55, 1.1), wait_ms=(151, 352), aim_ms=4100,
+          deadline_ms=14000, worth=2),
+    Class(name="cadastro", share=0.16, work_ms=(297, 514), cv=(0.44, 1.0), wait_ms=(70, 165), aim_ms=3200,
+          deadline_ms=8100, worth=5, effect="keyed"),
+)
+
+
+class Tenant(Model):
+    name: str
+    share: float = Field(gt=0, description="of the quota")
+    asks: float | None = Field(None, gt=0, description="of the traffic; absent: as share")
+
+
+TENANTS = (Tenant(name="museu-grande", share=0.38), Tenant(name="casa-memoria", share=0.32),
+           Tenant(name="pinacoteca-sul", share=0.18), Tenant(name="museu-sertao", share=0.12))
+
+
+class Rules(Model):
+    window_ms: float = Field(24336.0, ge=0)
+    answer_grace_ms: float = Field(60.0, ge=0)
+    drain_grace_ms: float = Field(2500.0, ge=0)
+    stop_ms: float = Field(3200.0, ge=500)
+    fall_multiple: float = Field(6.0, ge=1)
+    fall_ms: float = Field(2000.0, ge=200)
+    retry_after_ms: float = Field(1000.0, ge=0, description="the longest advice to stay away")
+    heeded_ms: float = Field(1000.0, ge=0, description="how long a level told is heeded")
+    marks_retry: bool = False
+
+
+class Trouble(Model):
+    """``burst``: the rate goes to ``size`` times. ``crash``: ``part`` of the nodes die and are back, cold, after
+    ``seconds``. ``slow``: ``part`` run ``size`` times slower. ``deploy``: ``part`` are replaced within ``seconds``,
+    ``size`` of the fleet at a time. ``link``: the links to the pools of ``part`` break each ``every_s``. ``acervo``:
+    the next tier is as ``state`` says."""
+
+    kind: Literal["burst", "crash", "slow", "deploy", "link", "acervo"]
+    at: Span = Field(description="seconds from the beginning of the day")
+    seconds: Span = 10.0
+    part: Span = 0.2
+    size: Span = 1.5
+    tier: Literal["entrega", "acervo"] = "entrega"
+    state: Literal["decline", "refuse", "silent"] = "decline"
+    every_s: float = Field(1.0, gt=0)
+    classes: tuple[str, ...] = Field((), description="a burst of these classes only")
+    tenant: str | None = Field(None, description="a burst of this museum only")
+
+    @model_validator(mode="after")
+    def _check(self) -> Trouble:
+        _ordered(self.at, self.seconds, self.part, self.size)
+        if self.kind == "slow" and _low(self.size) < 1:
+            raise ValueError("size: a slow machine is at least 1 times slower")
+        if self.kind != "burst" and _high(self.part) > 1:
+            raise ValueError("part: at most 1")
+        if self.kind == "deploy" and not 0 < _high(self.size) <= 1:
+            raise ValueError("size: the share of the fleet replaced at a time, above 0 and at most 1")
+        return self
+
+
+def _low(span: Any) -> float:
+    return float(span[0] if isinstance(span, tuple) else span)
+
+
+def _high(span: Any) -> float:
+    return float(span[1] if isinstance(span, tuple) else span)
+
+
+class Scenario(Model):
+    """A fleet and a day."""
+
+    version: Literal[1] = 1
+    title: str
+    seconds: float = Field(60.0, gt=0, le=3600)
+    seed: int = Field(1, ge=0)
+    fleet: Fleet = Fleet()
+    acervo: Acervo = Acervo()
+    routers: Routers = Routers()
+    clients: Clients = Clients()
+    traffic: Traffic = Traffic()
+    classes: tuple[Class, ...] = Field(CLASSES, min_length=1)
+    tenants: tuple[Tenant, ...] = TENANTS
+    rules: Rules = Rules()
+    trouble: tuple[Trouble, ...] = ()
+
+    @model_validator(mode="after")
+    def _check(self) -> Scenario:
+        names = [c.name for c in self.classes]
+        museums = [t.name for t in self.tenants]
+        for what, row in (("classes", names), ("tenants", museums)):
+            if len(set(row)) != len(row):
+                raise ValueError(f"{what}: a name stands twice")
+        for n, trouble in enumerate(self.trouble):
+            for name in trouble.classes:
+                if name not in names:
+                    raise ValueError(f"trouble.{n}.classes: {name!r} is none of {', '.join(names)}")
+            if trouble.tenant is not None and trouble.tenant not in museums:
+                raise ValueError(f"trouble.{n}.tenant: {trouble.tenant!r} is none of {', '.join(museums)}")
+        return self
+
+
+class Draw:
+    """The figures of a day out of their spans, by key."""
+
+    def __init__(self, streams: Streams) -> None:
+        self._streams = streams
+
+    def __call__(self, key: str, span: Any) -> float:
+        if not isinstance(span, tuple):
+            return float(span)
+        return float(span[0] + (span[1] - span[0]) * self._streams["figure/" + key].random())
+
+
+def check(raw: Any, source: str) -> Scenario:
+    try:
+        return Scenario.model_validate(raw)
+    except ValidationError as error:
+        raise ScenarioError(f"{source}: {_first(error.errors())}") from None
+
+
+def _first(errors: Sequence[Any]) -> str:
+    first = errors[0]
+    made = ("tuple[", "constrained", "function")  # parts of the model, not of the file
+    key = ".".join(str(part) for part in first["loc"] if not str(part).startswith(made))
+    message = str(first["msg"]).removeprefix("Value error, ")
+    more = f" (and {len(errors) - 1} more)" if len(errors) > 1 else ""
+    return (f"{key}: " if key else "") + message[:1].lower() + message[1:] + more
+
+
+def load(path: str | Path) -> Scenario:
+    """A scenario by its file, or by the name of a shipped one."""
+    file = Path(path)
+    if not file.suffix and not file.exists():
+        shipped = resources.files(__package__) / "scenarios" / f"{path}.toml"
+        if not shipped.is_file():
+            names = ", ".join(shipped_names())
+            raise ScenarioError(f"{path}: no such file, and none of the shipped scenarios: {names}")
+        text = shipped.read_text(encoding="utf-8")
+    else:
+        try:
+            text = file.read_text(encoding="utf-8")
+        except OSError as error:
+            raise ScenarioError(f"{path}: {error.strerror}") from None
+        except UnicodeDecodeError as error:
+            raise ScenarioError(f"{path}: not UTF-8: {error}") from None
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError(f"{path}: not TOML: {error}") from None
+    return check(raw, str(path))
+
+
+def shipped_names() -> list[str]:
+    folder = resources.files(__package__) / "scenarios"
+    return sorted(file.name.removesuffix(".toml") for file in folder.iterdir() if file.name.endswith(".toml"))
+
+
+def schema() -> dict[str, Any]:
+    """The published JSON Schema."""
+    return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "lemonway scenario",
+            **{k: v for k, v in Scenario.model_json_schema().items() if k != "title"}}
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -65,9 +65,9 @@
 
 
 class Node:
-    def __init__(self, config: Config, reactor: Any, site: Site | None = None) -> None:
+    def __init__(self, config: Config, reactor: Any, site: Site | None = None, clock: Clock | None = None) -> None:
         self.config, self.reactor = config, reactor
-        self.turns = Turns(reactor, Clock())
+        self.turns = Turns(reactor, clock or Clock())
         self.bounds = bounds_of(config.sockets, config.memory_mb)
         self.core = Core(
             config.settings, config.seed, self.turns, self.bounds.requests, self.bounds.kept_bytes)
--- a/lemonway/net/program/start.py
+++ b/lemonway/net/program/start.py
@@ -9,19 +9,24 @@
 
 from twisted.python.log import PythonLoggingObserver
 
+from . import logs
 from .config import ConfigError, load_config
 from .node import run
+from .own import Own, load_own
 from .uwsgi_site import load_site
 
 
 def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="python -m lemonway", description="The image node.")
     parser.add_argument("--uwsgi", metavar="FILE", help="also serve the uwsgi protocol as FILE says")
+    parser.add_argument("--settings", metavar="FILE", help="the node's own settings (deploy/node.json)")
+    parser.add_argument("--log-json", action="store_true", help="log JSON lines instead of key=value")
     args = parser.parse_args(argv)
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(name)s %(message)s")
-    PythonLoggingObserver("twisted").start()
-    logging.getLogger("twisted").setLevel(logging.WARNING)
     try:
+        own = load_own(args.settings) if args.settings else Own()
+        logs.set_up("json" if args.log_json else own.log_form, own.log_level)
+        PythonLoggingObserver("twisted").start()
+        logging.getLogger("twisted").setLevel(logging.WARNING)
         config = load_config(os.environ)
         site = load_site(args.uwsgi, config.settings) if args.uwsgi else None
     except ConfigError as error:
--- a/lemonway/net/transport/clock.py
+++ b/lemonway/net/transport/clock.py
@@ -18,21 +18,27 @@
 
 
 class Clock:
-    """``now`` is read once a turn; the distance to the Unix clock is taken anew with ``align``."""
+    """``now`` is read once a turn; the distance to the Unix clock is taken anew with ``align``.
 
-    __slots__ = ("now", "_unix")
+    ``monotonic`` and ``unix`` give the time in nanoseconds. They are the system's clocks, except where a rehearsal
+    plays a node in virtual time."""
 
-    def __init__(self) -> None:
+    __slots__ = ("now", "_unix", "_monotonic", "_system")
+
+    def __init__(
+        self, monotonic: Callable[[], int] = time.monotonic_ns, unix: Callable[[], int] = time.time_ns,
+    ) -> None:
+        self._monotonic, self._system = monotonic, unix
         self.now = self._unix = 0
         self.read()
         self.align()
 
     def read(self) -> int:
-        self.now = time.monotonic_ns() // 1000
+        self.now = self._monotonic() // 1000
         return self.now
 
     def align(self) -> None:
-        self._unix = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+        self._unix = self._system() // 1000 - self._monotonic() // 1000
 
     def from_unix_ms(self, stamp: int) -> int:
         """A Unix stamp in milliseconds, on this clock."""
