--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -53,6 +53,7 @@
     nodes: Counter[str] = field(default_factory=Counter)  # the cores' own counters, first tier
     below: Counter[str] = field(default_factory=Counter)  # the same of the next tier
     keeper: Counter[str] = field(default_factory=Counter)
+    doubles: Counter[str] = field(default_factory=Counter)
     totals: list[Totals] = field(default_factory=list)
     most_crowd: float = 0.0
     most_memory: float = 0.0
@@ -102,6 +103,7 @@
         self.deadlines = [int(c.deadline_ms * 1000) for c in scenario.classes]
         self.heeded = int(rules.heeded_ms * 1000)
         self.lives_begun: Counter[str] = Counter()
+        self.doubles: Counter[str] = Counter()  # keyed requests that came once more, and what they got
         self.routers = self._make_routers()
         self.proxies = {name: self._make_proxy(name, n) for n, name in enumerate(front)} if below else {}
 
@@ -289,6 +291,7 @@
                 self.keeper.start(name, False)
         clients = Clients(self.loop, requests, self.routers)
         ended: dict[int, int] = {}
+        self.doubles = clients.doubles
         clients.finished = lambda request: ended.__setitem__(request.number, self.loop.now)
         clients.start()
         end = START + int(self.scenario.seconds * SECOND) + max(self.deadlines) + TAIL
@@ -336,7 +339,7 @@
         return Result(
             s, self.streams.seed, service, requests, sorted(self.all_tries, key=lambda t: t.number), audit, self.books,
             self.keeper.happened, self.mix, self.capacity, self.loop.events, outcomes, routers,
-            self.lost_counters[0], self.lost_counters[1], self.keeper.counters, self.totals,
+            self.lost_counters[0], self.lost_counters[1], self.keeper.counters, self.doubles, self.totals,
             max(m.most_crowd for m in self.machines.values()), max(m.most_memory for m in self.machines.values()),
             (len(self.tiers[0]), len(self.tiers[1])))
 
--- a/lemonway/kit/emulator/report.py
+++ b/lemonway/kit/emulator/report.py
@@ -82,6 +82,7 @@
         "node_counters": dict(sorted(result.nodes.items())),
         "acervo_counters": dict(sorted(result.below.items())),
         "happened": [{"at_s": _round((h.at - START) / SECOND), "what": h.what} for h in result.happened],
+        "keyed_again": dict(sorted(result.doubles.items())),
         "comings_and_goings": dict(sorted(result.keeper.items())),
         "work_ms": [{"run": _round(t.run), "read": _round(t.read), "runs": t.runs, "tries": t.tries} for t in totals],
         "nearest_to_limits": {"crowd": _round(result.most_crowd), "memory": _round(result.most_memory)},
@@ -146,6 +147,8 @@
                        for n, count in data["tries"]["of_requests"].items())
     console.print(f"tries a request: mean {data['tries']['mean']:.3f} ({spread})")
     console.print("outcomes: " + ", ".join(f"{k} {v}" for k, v in data["outcomes"].items()))
+    if again := data["keyed_again"]:
+        console.print("keyed requests that came again: " + ", ".join(f"{k} {v}" for k, v in again.items()))
     near = data["nearest_to_limits"]
     console.print(f"nearest to the limits: crowd {_percent(near['crowd'])}, memory {_percent(near['memory'])}")
     for row in data["happened"]:
--- a/lemonway/kit/emulator/requests.py
+++ b/lemonway/kit/emulator/requests.py
@@ -30,6 +30,7 @@
     router: int = 0
     again: bool = False  # its client asks a second time if the first comes to nothing
     pause: int = 0  # before it does
+    double: int = 0  # so long after it was served it comes once more; 0 = it does not
     asks: int = 0
     tries: int = 0
     served_at: int = -1
--- a/lemonway/kit/emulator/routing/router.py
+++ b/lemonway/kit/emulator/routing/router.py
@@ -175,6 +175,10 @@
 
     def _may_have_run(self, hand: Hand, t: Try) -> None:
         hand.doubt = True
+        self._ran_at(hand, t)
+
+    def _ran_at(self, hand: Hand, t: Try) -> None:
+        """A keyed request that comes again goes there and nowhere else."""
         if hand.request.keyed and not hand.home:
             hand.home = t.node
             self._homes[hand.request.unique] = t.node
@@ -215,8 +219,7 @@
         if answer.verdict is Verdict.SERVED:
             peer.good((now - t.sent) / 1000)
             self.throttle.take(now)
-            if hand.request.keyed:
-                self._homes.pop(hand.request.unique, None)
+            self._ran_at(hand, t)
             self._finish(hand, "served", answer.body)
         elif answer.verdict is Verdict.REFUSED:
             hand.last = "refused"
--- a/lemonway/kit/emulator/scenario.py
+++ b/lemonway/kit/emulator/scenario.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 import tomllib
 from collections.abc import Sequence
 from importlib import resources
@@ -117,6 +118,7 @@
 class Clients(Model):
     retry: Share = Field(0.5, description="share of clients that ask a second time, once, unmarked")
     pause_ms: tuple[float, float] = (50, 400)
+    doubles: Share = Field(0.03, description="share of served keyed requests that come once more within their window")
 
 
 class Traffic(Model):
@@ -278,7 +280,8 @@
 
 def check(raw: Any, source: str) -> Scenario:
     try:
-        return Scenario.model_validate(raw)
+        # By way of JSON, strict still takes lists for tuples, and no word for a number.
+        return Scenario.model_validate_json(json.dumps(raw, default=str), strict=True)
     except ValidationError as error:
         raise ScenarioError(f"{source}: {_first(error.errors())}") from None
 
--- a/lemonway/kit/emulator/traffic.py
+++ b/lemonway/kit/emulator/traffic.py
@@ -61,7 +61,7 @@
 
 
 def lognormal(mean: float, cv: float, count: int, draw: np.random.Generator) -> NDArray[Any]:
-    if cv <= 0:
+    if cv <= 0 or mean <= 0:
         return np.full(count, mean)
     spread = np.log(1.0 + cv * cv)
     drawn: NDArray[np.float64] = draw.lognormal(np.log(mean) - spread / 2, np.sqrt(spread), count)
@@ -145,13 +145,16 @@
             again = source.random(count) < scenario.clients.retry
             pause = source.uniform(*scenario.clients.pause_ms, count) * 1000
             router = source.random(count)
-            rows.append((tenant, lane, at, work, hint, wait, calls, below, rank, ram, item, again, pause, router))
+            double = source.uniform(0.0, scenario.rules.window_ms * 1000, count)
+            double *= (source.random(count) < scenario.clients.doubles) & (kind.effect == "keyed")
+            rows.append((
+                tenant, lane, at, work, hint, wait, calls, below, rank, ram, item, again, pause, router, double))
     order = sorted((int(t), n, m) for n, row in enumerate(rows) for m, t in enumerate(row[2].tolist()))
     lists = [[row[0], row[1], *(column.tolist() for column in row[2:])] for row in rows]
     quota = Quota(quotas(scenario, capacity, draw)) if scenario.tenants else None
     requests = []
     for number, (asked_at, n, m) in enumerate(order, 1):
-        tenant, lane, _, work, hint, wait, calls, below, rank, ram, item, again, pause, router = lists[n]
+        tenant, lane, _, work, hint, wait, calls, below, rank, ram, item, again, pause, router, double = lists[n]
         kind = scenario.classes[lane]
         keyed, most = kind.effect == "keyed", max(1, kind.calls[1])
         asked = START + asked_at
@@ -162,6 +165,6 @@
             blake2b(b"%d/%d" % (streams.seed, number), digest_size=16).hexdigest() if keyed else "",
             b"request %d" % number, keyed, hint[m] if traffic.hints > 0 else None,
             tuple(below[m * most : (m + 1) * most]), quota.inside(tenant, asked_at) if quota else True,
-            int(router[m] * scenario.routers.count), again[m], int(pause[m]),
+            int(router[m] * scenario.routers.count), again[m], int(pause[m]), int(double[m]),
         ))
     return requests
