Play whole nodes over byte pipes: parsers, the pool's link and the catalogue's client as well

Need: the first fidelity drives the core by calls, so what the wires do to a node was never played.

Notices come twice, remarks stand between them, replies of the next tier are spoilt, reports are lost, routers reset connections (a new trouble for both fidelities). A request written to a connection that was never made, or that crosses a close, is treated as the protocol says.

--- a/lemonway/kit/cli.py
+++ b/lemonway/kit/cli.py
@@ -52,20 +52,16 @@
     sys.exit(start(argv + (["--uwsgi", uwsgi] if uwsgi else []) + (["--settings", settings] if settings else [])))
 
 
-def play_one(name: str, seed: int, keep: str | None) -> dict[str, Any]:
+def play_one(
+    plan: scenario.Scenario, seed: int, wire: bool, keep: str | None = None,
+    progress: Callable[[float], None] | None = None,
+) -> dict[str, Any]:
     """One day, to its figures; runs in a process of its own where several are played."""
-    data, _ = _play(scenario.load(name), seed, keep, None)
-    return data
-
-
-def _play(
-    plan: scenario.Scenario, seed: int, keep: str | None, progress: Callable[[float], None] | None,
-) -> tuple[dict[str, Any], None]:
-    result = play(plan, seed, keep=keep is not None, progress=progress)
+    result = play(plan, seed, keep=keep is not None, progress=progress, wire=wire)
     if keep is not None:
         with open(keep, "w", encoding="utf-8") as file:
             file.writelines(line + "\n" for line in report.trace(result))
-    return report.figures(result), None
+    return report.figures(result)
 
 
 @main.command()
@@ -75,8 +71,9 @@
 @click.option("--jobs", type=click.IntRange(1, 256), default=1, show_default=True, help="Days played at a time.")
 @click.option("--json", "json_", type=click.Path(dir_okay=False), help="Write the figures to this file ('-': print).")
 @click.option("--trace", type=click.Path(dir_okay=False), help="Write the life of each try as JSON lines.")
+@click.option("--wire", is_flag=True, help="Whole nodes over byte pipes: parsers, links and their recovery as well.")
 def rehearse(
-    scenario_: str, seed: int | None, seeds: int | None, jobs: int, json_: str | None, trace: str | None,
+    scenario_: str, seed: int | None, seeds: int | None, jobs: int, json_: str | None, trace: str | None, wire: bool,
 ) -> None:
     """Play a day of a fleet in virtual time and report the service.
 
@@ -94,9 +91,9 @@
     try:
         if seeds is None:
             with _bar(plan.title) as tell:
-                data, _ = _play(plan, first, trace, tell)
+                data = play_one(plan, first, wire, trace, tell)
         else:
-            data = report.summary(_play_all(scenario_, range(first, first + seeds), jobs, plan.title))
+            data = report.summary(_play_all(plan, range(first, first + seeds), jobs, wire))
         if json_ is not None and json_ != "-":
             Path(json_).write_text(report.to_json(data), encoding="utf-8")
     except OSError as error:
@@ -109,11 +106,11 @@
     sys.exit(BROKEN if any(sum(day["rules"].values()) for day in days) else OK)
 
 
-def _play_all(name: str, seeds: Sequence[int], jobs: int, title: str) -> list[dict[str, Any]]:
+def _play_all(plan: scenario.Scenario, seeds: Sequence[int], jobs: int, wire: bool) -> list[dict[str, Any]]:
     """In the order of the seeds, whatever the order in which they end."""
     rows: dict[int, dict[str, Any]] = {}
-    with _bar(title) as tell, ProcessPoolExecutor(min(jobs, len(seeds)), get_context("spawn")) as pool:
-        running = {pool.submit(play_one, name, seed, None): seed for seed in seeds}
+    with _bar(plan.title) as tell, ProcessPoolExecutor(min(jobs, len(seeds)), get_context("spawn")) as pool:
+        running = {pool.submit(play_one, plan, seed, wire): seed for seed in seeds}
         for future in as_completed(running):
             rows[running[future]] = future.result()
             tell(len(rows) / len(seeds))
--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -15,7 +15,7 @@
 from .audit import Audit, LifeBook
 from .clients import Clients
 from .membership import AnnounceService, View
-from .node import Calls, CoreMaker, Life, Totals
+from .node import MEMORY_MB, SOCKETS, CoreMaker, Life, Totals
 from .recovery.keeper import Happening, Keeper, Network
 from .recovery.troubles import Plan, Troubles
 from .requests import Request, Try
@@ -25,11 +25,12 @@
 from .state.machine import Build, Machine
 from .traffic import HOLD_KB, Mix, draw_requests, mix_of, quotas
 from .virtual import START, Loop, Streams, Uniform
+from .wire.life import WireLife
+from .wire.pipes import Manners, Plumbing
 
 SECOND = 1_000_000
 TAIL = 5 * SECOND  # past the last deadline, for what is still to be told
 METERS = ("cpu_busy", "runnable", "mem_used", "sockets")
-MEMORY_MB, SOCKETS = 192, 1024  # a node's own limits (DEPLOY)
 SPEED_LEAST, SPEED_MOST = 0.25, 4.0  # of its kind's mean, that one machine may draw
 
 
@@ -64,9 +65,10 @@
     """The fleet of one day. It is what ``recovery.troubles.Struck`` strikes."""
 
     def __init__(
-        self, scenario: Scenario, seed: int, make_core: CoreMaker = Core, keep: bool = False,
+        self, scenario: Scenario, seed: int, make_core: CoreMaker = Core, keep: bool = False, wire: bool = False,
     ) -> None:
-        """``make_core`` builds each node's core; ``keep`` keeps every try, for a trace."""
+        """``make_core`` builds each node's core; ``keep`` keeps every try, for a trace; ``wire`` plays whole nodes over
+        byte pipes."""
         self.scenario, self.make_core, self.keep = scenario, make_core, keep
         self.streams = Streams(seed)
         self.draw = Draw(self.streams)
@@ -104,6 +106,10 @@
         self.heeded = int(rules.heeded_ms * 1000)
         self.lives_begun: Counter[str] = Counter()
         self.doubles: Counter[str] = Counter()  # keyed requests that came once more, and what they got
+        self.plumbing: Plumbing | None = None
+        if wire:
+            manners = Manners(scenario.wire.delay_us, scenario.wire.split, scenario.wire.join)
+            self.plumbing = Plumbing(self.loop, manners, Uniform(self.streams["pipes"]))
         self.routers = self._make_routers()
         self.proxies = {name: self._make_proxy(name, n) for n, name in enumerate(front)} if below else {}
 
@@ -210,12 +216,16 @@
         tier = int(name not in self.tiers[0])
         self.lives_begun[name] += 1
         seed = self.streams.number(f"node/{name}/{self.lives_begun[name]}")
-        life = Life(
+        kind: type[Life] = Life
+        extra: Any = self.proxies
+        if self.plumbing is not None:
+            uniform = Uniform(self.streams[f"wire/{name}/{self.lives_begun[name]}"])
+            kind, extra = WireLife, (self.plumbing, self.scenario.wire, uniform, self.proxies)
+        life = kind(
             self.loop, self.machines[name], self.settings[tier], seed, cold, self.bounds, self.audits[tier],
             self.totals[tier], self.reading * self.mix.mean_work * (1.0 if tier == 0 else self.call_work),
-            self.services[tier], self._ended, self.make_core)
-        if tier == 0 and self.proxies:
-            life.calls = life.core.catalogue = Calls(life, self.proxies[name], self.next_number)
+            self.services[tier], self._ended, self.next_number, self.scenario.rules.stop_ms, self.make_core, extra)
+        if life.calls is not None:
             life.calls.state = self.calls_state
         self.books.append(life.book)
         return life
@@ -248,15 +258,19 @@
 
     def deafen(self, name: str) -> None:
         if life := self._life(name):
-            life.pool.deaf = True
+            life.deafen()
 
     def break_link(self, name: str) -> None:
         if life := self._life(name):
-            life.pool.break_link()
+            life.break_link()
 
     def link(self, name: str) -> None:
         if life := self._life(name):
-            life.pool.link()
+            life.mend_link()
+
+    def reset(self, name: str) -> None:
+        if life := self._life(name):
+            life.reset_links()
 
     # the day
 
@@ -269,7 +283,7 @@
                 t.kind, START + int(self.draw(f"{key}.at", t.at) * SECOND),
                 int(self.draw(f"{key}.seconds", t.seconds) * SECOND), self.draw(f"{key}.part", t.part),
                 self.draw(f"{key}.size", t.size), int(t.tier == "acervo"), t.state,
-                int(t.every_s * SECOND) if t.kind == "link" else 0, int(self.scenario.rules.stop_ms * 1000))
+                int(t.every_s * SECOND) if t.kind in ("link", "reset") else 0, int(self.scenario.rules.stop_ms * 1000))
             lanes = [i for i, c in enumerate(self.scenario.classes) if c.name in t.classes]
             museum = next((i for i, team in enumerate(self.scenario.tenants) if team.name == t.tenant), -1)
             rows.append((plan, lanes, museum))
@@ -346,13 +360,13 @@
 
 def play(
     scenario: Scenario, seed: int, make_core: CoreMaker = Core, keep: bool = False,
-    progress: Callable[[float], None] | None = None,
+    progress: Callable[[float], None] | None = None, wire: bool = False,
 ) -> Result:
     """Play one day. The collector of cyclic rubbish rests meanwhile: a day leaves little of it and much to look at."""
     enabled: Any = gc.isenabled()
     gc.disable()
     try:
-        return World(scenario, seed, make_core, keep).play(progress)
+        return World(scenario, seed, make_core, keep, wire).play(progress)
     finally:
         if enabled:
             gc.enable()
--- a/lemonway/kit/emulator/node.py
+++ b/lemonway/kit/emulator/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import blake2b
+from typing import Any
 
 from ...interface import Outcome, Settings
 from ...net.ports import Answer, Incoming
@@ -22,6 +23,7 @@
 
 END_LOOK = 300_000  # microseconds between looks, once draining, whether all is answered
 WARM_AGE = 60_000_000  # how long a pool that is warm when the day begins has been up
+MEMORY_MB, SOCKETS = 192, 1024  # a node's own limits (DEPLOY)
 HANDSHAKE = 1.0  # standard milliseconds that a new connection costs
 
 CoreMaker = Callable[[Settings, int, Turns, int, int], Core]
@@ -111,11 +113,15 @@
     def __init__(
         self, loop: Loop, machine: Machine, settings: Settings, seed: int, cold: bool, bounds: Bounds,
         audit: Audit, totals: Totals, reading: float, service: AnnounceService,
-        ended: Callable[[Life, str], None], make_core: CoreMaker = Core,
+        ended: Callable[[Life, str], None], number: Callable[[], int], stop_ms: float, make_core: CoreMaker = Core,
+        extra: Any = None,
     ) -> None:
-        """``reading`` is the work of reading a request, in standard milliseconds."""
+        """``reading`` is the work of reading a request, in standard milliseconds; ``extra`` is for a life of another
+        fidelity."""
         self.loop, self.machine, self.name, self.settings = loop, machine, machine.name, settings
         self.audit, self.totals, self.reading, self.ended = audit, totals, reading, ended
+        self.service, self.next_number, self.stop_ms, self.make_core = service, number, stop_ms, make_core
+        self.bounds = bounds
         self.book = LifeBook(self.name, loop.now)
         self.dead = self.leaving = False
         self.accepting = True
@@ -123,17 +129,26 @@
         self.open: dict[int, Try] = {}  # came and not answered, by tag
         self.links: dict[int, Link] = {}
         self.by_tag: dict[int, Try] = {}
-        self.turns = Turns(loop, Clock(loop.monotonic_ns, loop.unix_ns))
+        self.turns: Turns
+        self.core: Core
+        self.calls: Calls | None = None
         machine.start(cold)
         machine.fell = self._fell
-        self.core = make_core(settings, seed, self.turns, bounds.requests, bounds.kept_bytes)
         machine.keys = lambda: len(self.core.kept)
         began = loop.now if cold else loop.now - WARM_AGE
         self.pool = Pool(loop, machine.cores, self.known.get, self, machine.gauges, began, cold)
+        self._build(seed, cold, extra)
+
+    def _build(self, seed: int, cold: bool, extra: Any) -> None:
+        """Put the node together: here its core alone, spoken to through the ports."""
+        self.turns = Turns(self.loop, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
+        self.core = self.make_core(self.settings, seed, self.turns, self.bounds.requests, self.bounds.kept_bytes)
         self.pool.events, self.pool.begin = self.core, self.turns.begin
         self.core.pool = self.pool
-        self.core.announcer = Announcer(self, service)
-        self.calls: Calls | None = None
+        self.core.announcer = Announcer(self, self.service)
+        router = extra.get(self.name) if extra else None
+        if router is not None:
+            self.calls = self.core.catalogue = Calls(self, router, self.next_number)
 
     def start(self) -> None:
         self.turns.begin()
@@ -147,12 +162,8 @@
         cost = self.reading
         link = self.links.get(router.number)
         if link is None:
-            link = self.links[router.number] = Link(self, router, delay)
-            self.core.fronts[link] = None
-            router.returned(self.name)
+            link = self._open(router, delay)
             cost += HANDSHAKE
-            if self.core.draining:
-                link.drain()
         t.door = self.loop.now
         t.note(t.door, "came")
         self.known[t.txn] = self.by_tag[t.number] = self.open[t.number] = t
@@ -169,8 +180,13 @@
         self.machine.hold(request.ram)
         if self.dead:
             return
+        self._submit(link, t)
+
+    def _submit(self, link: Link, t: Try) -> None:
+        """Hand a request that has been read to the node."""
+        request = t.request
         self.turns.begin()
-        self.core.submit(Incoming(
+        t.ident = self.core.submit(Incoming(
             link, t.number, t.txn, request.lane, request.tenant, t.door, t.body, link.router.number, request.hint,
             request.ram, request.rank, request.unique, request.item,
         ))
@@ -178,21 +194,36 @@
     def answered(self, link: Link, tag: int, answer: Answer) -> None:
         t = self.by_tag[tag]
         self.audit.answered(self.book, t, answer.verdict, answer.body, self.loop.now)
-        self.open.pop(tag, None)
+        self._let_go(t)
+        self.loop.after(link.delay, link.router.answered, t, answer)
+
+    def _let_go(self, t: Try) -> None:
+        """Nobody waits here for its answer any more."""
+        self.open.pop(t.number, None)
         if t.held_kb:
             self.machine.hold(-t.held_kb)
             t.held_kb = 0.0
-        self.loop.after(link.delay, link.router.answered, t, answer)
 
     def check(self, router: Router, tag: int, delay: int) -> None:
-        link = self.links.get(router.number)
-        if link is None:
-            link = self.links[router.number] = Link(self, router, delay)
-            self.core.fronts[link] = None
-            router.returned(self.name)
+        self._check(self.links.get(router.number) or self._open(router, delay), tag)
+
+    def _check(self, link: Link, tag: int) -> None:
         self.turns.begin()
         self.core.check(link, tag, False)
 
+    def _open(self, router: Router, delay: int) -> Link:
+        """A router's first connection to this life."""
+        link = self.links[router.number] = self._link(router, delay)
+        router.returned(self.name)
+        return link
+
+    def _link(self, router: Router, delay: int) -> Link:
+        link = Link(self, router, delay)
+        self.core.fronts[link] = None
+        if self.core.draining:
+            link.drain()
+        return link
+
     # what the pool does (``state.pool.Watcher``); its work is always a try of ours
 
     def began(self, t: Try) -> None:
@@ -219,11 +250,13 @@
             return
         self.leaving = True
         self.book.drained = self.loop.now
-        grace = int(self.settings.drain_grace * 1000)
+        self._drain(stop_us)
+        self.loop.after(stop_us, self.die, "stopped")
+
+    def _drain(self, stop_us: int) -> None:
         self.turns.begin()
         self.core.drain(stop_us / 1000)
-        self.loop.after(min(grace, stop_us), self._close_ports)
-        self.loop.after(stop_us, self.die, "stopped")
+        self.loop.after(min(int(self.settings.drain_grace * 1000), stop_us), self._close_ports)
 
     def _close_ports(self) -> None:
         if not self.dead:
@@ -256,4 +289,34 @@
                 t.note(self.loop.now, f"its node {how}")
                 self.loop.after(link.delay, link.router.broken, t)
         self.open.clear()
+        self._gone()
         self.ended(self, how)
+
+    def _gone(self) -> None:
+        """The process takes nothing with it that others hold."""
+
+    # troubles
+
+    def deafen(self) -> None:
+        """From now on commands to the pool are lost on the way, until the link is made anew."""
+        self.pool.deaf = True
+
+    def break_link(self) -> None:
+        self.pool.break_link()
+
+    def mend_link(self) -> None:
+        self.pool.link()
+
+    def reset_links(self) -> None:
+        """Each router resets its connections: what was open there gets no answer, which breaks no rule."""
+        for link in list(self.links.values()):
+            self.reset(link)
+
+    def reset(self, link: Link) -> None:
+        self.turns.begin()
+        for t in [t for t in self.open.values() if t.router == link.router.number and t.read >= 0]:
+            t.forgiven = True
+            t.note(self.loop.now, "its connection was reset")
+            self._let_go(t)
+            self.core.gave_up(t.ident)
+            self.loop.after(link.delay, link.router.broken, t)
--- a/lemonway/kit/emulator/recovery/troubles.py
+++ b/lemonway/kit/emulator/recovery/troubles.py
@@ -30,6 +30,8 @@
 
     def link(self, name: str) -> None: ...
 
+    def reset(self, name: str) -> None: ...
+
 
 @dataclass(frozen=True)
 class Plan:
@@ -60,7 +62,7 @@
         self._slowed: dict[str, float] = {}
         self._kinds: dict[str, Callable[[Plan, np.random.Generator], None]] = {
             "crash": self._crash, "slow": self._slow, "deploy": self._deploy, "link": self._link,
-            "acervo": self._acervo, "burst": self._burst,
+            "acervo": self._acervo, "burst": self._burst, "reset": self._reset,
         }
 
     def set(self, plan: Plan, draw: np.random.Generator) -> None:
@@ -115,6 +117,14 @@
                 self.loop.after(when + int(20_000 + draw.random() * 200_000), self.struck.link, name)
             at += every
 
+    def _reset(self, plan: Plan, draw: np.random.Generator) -> None:
+        """Routers reset their connections to some nodes, each at moments of its own."""
+        names = some(self.tiers[plan.tier], plan.part, draw)
+        self.keeper.note(f"connections to {', '.join(names)} are reset for {plan.length / SECOND:.1f} s")
+        for at in range(0, plan.length, plan.every):
+            for name in names:
+                self.loop.after(at + int(draw.random() * plan.every), self.struck.reset, name)
+
     def _acervo(self, plan: Plan, draw: np.random.Generator) -> None:
         self.keeper.note(f"acervo: {plan.state} for {plan.length / SECOND:.1f} s")
         self.struck.set_calls(plan.state)
--- a/lemonway/kit/emulator/requests.py
+++ b/lemonway/kit/emulator/requests.py
@@ -61,6 +61,11 @@
     held_kb: float = 0.0  # what is booked for it now
     running_kb: float = 0.0
     over: bool = False  # its router waits no more
+    forgiven: bool = False  # its router ended the connection: no answer is owed
+    ident: int = 0  # the core's own number
+    written: int = 0  # when its last byte was
+    resent: bool = False
+    door_unix: int = 0  # milliseconds
     log: list[tuple[int, str]] = field(default_factory=list)
 
     def note(self, now: int, what: str) -> None:
--- a/lemonway/kit/emulator/scenario.py
+++ b/lemonway/kit/emulator/scenario.py
@@ -196,13 +196,27 @@
     marks_retry: bool = False
 
 
+class Wire(Model):
+    """How pipes and peers treat a whole node (``--wire``); shares of writes, notices, replies and reports."""
+
+    delay_us: int = Field(60, ge=1, le=100_000)
+    split: Share = 0.3
+    join: Share = 0.1
+    repeat: Share = Field(0.02, description="notices that come twice under one number")
+    chatter: Share = Field(0.02, description="remarks between notices")
+    spoil: Share = Field(0.0, description="replies of the next tier that can't be read, or break off")
+    extra: Share = Field(0.02, description="replies that carry more than belongs to them")
+    report_loss: Share = Field(0.25, description="reports to the announce service that are lost")
+
+
 class Trouble(Model):
     """``burst``: the rate goes to ``size`` times. ``crash``: ``part`` of the nodes die and are back, cold, after
     ``seconds``. ``slow``: ``part`` run ``size`` times slower. ``deploy``: ``part`` are replaced within ``seconds``,
-    ``size`` of the fleet at a time. ``link``: the links to the pools of ``part`` break each ``every_s``. ``acervo``:
+    ``size`` of the fleet at a time. ``link``: the links to the pools of ``part`` break each ``every_s``. ``reset``:
+    routers reset their connections to ``part`` each ``every_s``. ``acervo``:
     the next tier is as ``state`` says."""
 
-    kind: Literal["burst", "crash", "slow", "deploy", "link", "acervo"]
+    kind: Literal["burst", "crash", "slow", "deploy", "link", "acervo", "reset"]
     at: Span = Field(description="seconds from the beginning of the day")
     seconds: Span = 10.0
     part: Span = 0.2
@@ -248,6 +262,7 @@
     classes: tuple[Class, ...] = Field(CLASSES, min_length=1)
     tenants: tuple[Tenant, ...] = TENANTS
     rules: Rules = Rules()
+    wire: Wire = Wire()
     trouble: tuple[Trouble, ...] = ()
 
     @model_validator(mode="after")
--- a/lemonway/kit/emulator/state/pool.py
+++ b/lemonway/kit/emulator/state/pool.py
@@ -79,13 +79,17 @@
         self._over_set: set[str] = set()
         self._notices: deque[tuple[int, Callable[[], None]]] = deque(maxlen=KEPT)
         self._serial = self._heard = self._links = 0
+        self.saying = 0  # the number of the notice that is being said
 
     # the link
 
-    def link(self) -> None:
-        """A link is made: ``bound`` and what was missed come over it, in order."""
+    def link(self, heard: int | None = None) -> None:
+        """A link is made: ``bound`` and what was missed come over it, in order. ``heard`` is the number of the last
+        notice that the other side says it has read; absent, it is known here."""
         if self.dead or self.linked:
             return
+        if heard is not None:
+            self._heard = heard
         self.linked, self.deaf = True, False
         self._links += 1
         self.loop.after(LINK, self._bound, self._links, self._serial)
@@ -98,7 +102,7 @@
         self.events.bound(self.cold, self.loop.now - self.begun)
         for serial, say in list(self._notices):
             if self._heard < serial <= upto:
-                self._heard = serial
+                self._heard = self.saying = serial
                 say()
         if number > 1:
             self.loop.after(2 * LINK, self._resynced)
@@ -115,6 +119,11 @@
             self.begin()
             self.events.link_lost()
 
+    @property
+    def said(self) -> int:
+        """The number of the last notice that the other side has."""
+        return self._heard
+
     def kill(self) -> None:
         """The process and all its runs end at once."""
         self.dead, self.linked = True, False
@@ -134,7 +143,7 @@
 
     def _arrive(self, serial: int, say: Callable[[], None]) -> None:
         if self.linked and not self.dead and serial == self._heard + 1:
-            self._heard = serial
+            self._heard = self.saying = serial
             self.begin()
             say()
 
--- /dev/null
+++ b/lemonway/kit/emulator/wire/life.py
@@ -0,0 +1,119 @@
+"""One life of a whole node over byte pipes: ``net.program.node.Node`` as shipped, with its fronts, the link to its
+pool and its catalogue client. What ``node.Life`` does by calls, this does by messages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ....net.ports import Answer
+from ....net.program.config import Address, Config
+from ....net.program.node import Node
+from ....net.routing.core import Core
+from ....net.transport.clock import Clock
+from ..node import MEMORY_MB, SOCKETS, Life, Link
+from ..requests import Try
+from ..routing.router import Router
+from ..scenario import Wire
+from ..virtual import Uniform
+from .peers import PoolEnd, Proxy, WireLink, hear_report
+from .pipes import NodeReactor, Plumbing
+
+PORT = 1  # addresses here are names; every one has this port
+
+
+class WireLife(Life):
+    """Built by ``Life``'s constructor; ``wires`` must be given to it as ``extra``."""
+
+    def _build(self, seed: int, cold: bool, extra: Any) -> None:
+        self.plumbing: Plumbing
+        self.wire: Wire
+        self.plumbing, self.wire, self.uniform, proxies = extra
+        assert isinstance(self.uniform, Uniform)
+        self.teams = [team.name for team in self.settings.tenants]
+        router = proxies.get(self.name)
+        reactor = NodeReactor(self.plumbing, self, self._datagram, lambda: self.die("left"), self._closed)
+        config = Config(
+            self.name, Address(self.name, PORT), Address(f"pool/{self.name}", PORT), Address("announce", PORT),
+            Address(f"catalogue/{self.name}", PORT) if router is not None else None, seed, self.stop_ms, SOCKETS,
+            MEMORY_MB, self.settings)
+        self.node = Node(config, reactor, None, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
+        if self.make_core is not Core:
+            raise ValueError("a core of one's own goes with the core's fidelity")
+        self.core, self.turns = self.node.core, self.node.turns
+        self.pool_end = PoolEnd(self.pool, self.uniform, self.wire.repeat, self.wire.chatter)
+        self.pool_listener = self.plumbing.listen((f"pool/{self.name}", PORT), self.pool_end, self)
+        if router is not None:
+            self.calls = proxy = Proxy(self, router, self.next_number, self.uniform, self.wire.spoil, self.wire.extra)
+            self.plumbing.listen((f"catalogue/{self.name}", PORT), proxy, self)
+
+    def start(self) -> None:
+        self.turns.begin()
+        self.node.listen()
+        self.node.start()
+
+    def _datagram(self, datagram: bytes) -> None:
+        report = hear_report(datagram)
+        if report is not None and not self.dead and self.uniform() >= self.wire.report_loss:
+            self.service.report(*report)
+
+    def _closed(self) -> None:
+        """Its port is closed: a new connection is refused."""
+        self.accepting = False
+
+    # requests
+
+    def _link(self, router: Router, delay: int) -> Link:
+        self.plumbing.ends.setdefault(router, {})
+        return WireLink(self, router, delay)  # type: ignore[return-value]
+
+    def _submit(self, link: Any, t: Try) -> None:
+        t.door_unix = (t.door * 1000 - self.loop.monotonic_ns() + self.loop.unix_ns()) // 1_000_000
+        link.call(t)
+
+    def _check(self, link: Any, tag: int) -> None:
+        link.check(tag, False)
+
+    def heard(self, link: Any, tag: int, answer: Answer) -> None:
+        """An answer has come to the router's end of a connection."""
+        if tag in self.by_tag:
+            self.answered(link, tag, answer)
+
+    def refused(self, link: WireLink, t: Try) -> None:
+        """No connection could be made for it: it never came to this node."""
+        if t.answered < 0 and not self.dead:
+            t.forgiven = True
+            t.note(self.loop.now, "connection refused")
+            self._let_go(t)
+        self.loop.after(link.delay, link.router.refused, t)
+
+    def broken(self, link: WireLink, t: Try) -> None:
+        """A connection ended under a request."""
+        if t.answered < 0 and not self.dead:
+            if not t.forgiven:
+                self.audit.breach("lost", self.book, self.loop.now, "its connection ended without an answer", t)
+            t.forgiven = True
+            self._let_go(t)
+        self.loop.after(link.delay, link.router.broken, t)
+
+    # troubles
+
+    def deafen(self) -> None:
+        self.pool.deaf = True
+
+    def break_link(self) -> None:
+        self.pool_listener.refusing = True
+        self.pool.break_link()
+
+    def mend_link(self) -> None:
+        self.pool_listener.refusing = False
+
+    def reset(self, link: Any) -> None:
+        link.reset()
+
+    # its end
+
+    def _drain(self, stop_us: int) -> None:
+        self.node.drain()
+
+    def _gone(self) -> None:
+        self.plumbing.leave(self)
