Let an emulated pool pause runs and go on from where they were stopped

With halt = "pause" in a scenario's rules a stopped run keeps its work, whatever it waits for, and goes on when it is spawned again. A first form ended runs that were stopped while they waited; the audit caught it as a second run of a key.

--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -163,7 +163,7 @@
                         rules.window_ms, bool(self.call_work) and tier == 0) for c in s.classes],
             tenants=[Tenant(t.name, quota[n], t.share) for n, t in enumerate(s.tenants)],
             cores=builds[0].cores if builds else 1, memory_kb=min((b.memory_kb for b in builds), default=0.0),
-            run_factor=s.fleet.run_factor, kb_per_key=mean_keys, halt=Halt.DROP, advice=Advice.MIN_RANK,
+            run_factor=s.fleet.run_factor, kb_per_key=mean_keys, halt=Halt(rules.halt), advice=Advice.MIN_RANK,
             advice_heeded=rules.heeded_ms, retry_after=rules.retry_after_ms > 0,
             max_retry_after=rules.retry_after_ms, marks_retry=rules.marks_retry, caller_idle=15000.0,
             callers=s.routers.count, tier=tier, fleet=max(1, len(builds)), meters=METERS,
--- a/lemonway/kit/emulator/node.py
+++ b/lemonway/kit/emulator/node.py
@@ -8,7 +8,7 @@
 from hashlib import blake2b
 from typing import Any
 
-from ...interface import Outcome, Settings
+from ...interface import Halt, Outcome, Settings
 from ...net.ports import Answer, Incoming
 from ...net.program.bounds import Bounds
 from ...net.routing.core import Core
@@ -136,7 +136,8 @@
         machine.fell = self._fell
         machine.keys = lambda: len(self.core.kept)
         began = loop.now if cold else loop.now - WARM_AGE
-        self.pool = Pool(loop, machine.cores, self.known.get, self, machine.gauges, began, cold)
+        self.pool = Pool(loop, machine.cores, self.known.get, self, machine.gauges, began, cold,
+                         settings.halt is Halt.PAUSE)
         self._build(seed, cold, extra)
 
     def _build(self, seed: int, cold: bool, extra: Any) -> None:
--- a/lemonway/kit/emulator/scenario.py
+++ b/lemonway/kit/emulator/scenario.py
@@ -194,6 +194,7 @@
     retry_after_ms: float = Field(1000.0, ge=0, description="the longest advice to stay away")
     heeded_ms: float = Field(1000.0, ge=0, description="how long a level told is heeded")
     marks_retry: bool = False
+    halt: Literal["off", "drop", "pause"] = Field("drop", description="what stopping a run does to its work")
 
 
 class Wire(Model):
--- a/lemonway/kit/emulator/state/pool.py
+++ b/lemonway/kit/emulator/state/pool.py
@@ -64,12 +64,14 @@
 
     def __init__(
         self, loop: Loop, cores: Cores, known: Callable[[str], Work | None], watcher: Watcher,
-        gauges: Callable[[], tuple[float, ...]], begun: int, cold: bool,
+        gauges: Callable[[], tuple[float, ...]], begun: int, cold: bool, keeps: bool = False,
     ) -> None:
+        """``keeps``: what is stopped keeps its work, and goes on from there when it is spawned again."""
         self.loop, self.cores, self.known, self.watcher, self.gauges = loop, cores, known, watcher, gauges
         self.events: PoolEvents
         self.begin: Callable[[], None] = lambda: None  # opens a turn of the node
-        self.begun, self.cold = begun, cold
+        self.begun, self.cold, self.keeps = begun, cold, keeps
+        self.paused: dict[str, Run] = {}
         self.runs: dict[str, Run] = {}
         self.dead = False
         self.deaf = False  # commands are lost on the way
@@ -127,7 +129,8 @@
     def kill(self) -> None:
         """The process and all its runs end at once."""
         self.dead, self.linked = True, False
-        runs, self.runs = self.runs, {}
+        runs, self.runs = {**self.runs, **self.paused}, {}
+        self.paused = {}
         for run in runs.values():
             if run.task is not None:
                 run.spent += self.cores.remove(run.task)
@@ -177,6 +180,10 @@
     def _spawn(self, txn: str, handler: str, body: bytes) -> None:
         if txn in self.runs:
             return
+        if (paused := self.paused.pop(txn, None)) is not None:
+            self.runs[txn] = paused
+            self._resume(paused)
+            return
         if txn in self._over_set:
             self._say(lambda: self.events.finished(txn, Outcome.MOOT, 0.0, b""))
             return
@@ -192,6 +199,22 @@
         self.watcher.began(work)
         self._work(run)
 
+    def _resume(self, run: Run) -> None:
+        """Go on from where it was stopped: a wait begins anew, and a call is asked for once more."""
+        run.begun = self.loop.now
+        run.turn += 1
+        if run.state == "waiting":
+            self.loop.after(run.work.wait, self._waited, run, run.turn)
+        elif run.state == "blocked":
+            self._block(run)
+        else:
+            self._work(run)
+
+    def _block(self, run: Run) -> None:
+        self.calling += 1
+        body = run.work.body + b"#%d" % run.calls
+        self._say(lambda: self.events.blocked(run.work.txn, body))
+
     def _work(self, run: Run) -> None:
         run.state = "working"
         run.turn += 1
@@ -210,9 +233,7 @@
             run.state = "blocked"
             run.turn += 1
             run.calls -= 1
-            self.calling += 1
-            body = run.work.body + b"#%d" % run.calls
-            self._say(lambda: self.events.blocked(run.work.txn, body))
+            self._block(run)
 
     def _waited(self, run: Run, turn: int) -> None:
         if run.turn == turn and run.work.txn in self.runs:
@@ -227,10 +248,21 @@
         self._work(run)
 
     def _suspend(self, txn: str) -> None:
-        if run := self.runs.get(txn):
-            if run.task is not None:
-                run.spent += self.cores.remove(run.task)
-                run.task = None
+        if not (run := self.runs.get(txn)):
+            return
+        if run.task is not None:
+            done = self.cores.remove(run.task)
+            run.spent += done
+            run.left[-1] = max(0.0, run.left[-1] - done)
+            run.task = None
+        if self.keeps:
+            del self.runs[txn]
+            run.turn += 1
+            self.calling -= run.state == "blocked"
+            self.paused[txn] = run
+            took = (self.loop.now - run.begun) / 1000
+            self._say(lambda: self.events.finished(txn, Outcome.CANCELLED, took, b""))
+        else:
             self._finish(run, Outcome.CANCELLED)
 
     def _finish(self, run: Run, outcome: Outcome) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -259,6 +259,19 @@
         self.run_for(300)
         self.assertEqual(self.seen.kinds(), ["began", "ended_run"])
 
+    def test_a_pause_keeps_the_work(self) -> None:
+        self.pool.keeps = True
+        self.run_for(1)
+        self.spawn(1)
+        self.run_for(30)
+        self.pool.suspend(f"{1:016x}")
+        self.run_for(200)
+        self.assertEqual((self.events.said[-1][2], self.seen.kinds()), (Outcome.CANCELLED, ["began"]))
+        self.spawn(1)
+        self.run_for(122)
+        self.assertEqual(self.events.said[-1][2], Outcome.OK, "70 ms of work and 50 ms of waiting were left")
+        self.assertEqual(self.seen.kinds(), ["began", "ended_run"])
+
     def test_a_stop_frees_the_core_and_tells_what_was_spent(self) -> None:
         self.run_for(1)
         self.spawn(1)
