--- a/lemonway/kit/experiment/plan.py
+++ b/lemonway/kit/experiment/plan.py
@@ -103,7 +103,11 @@
 
 @lru_cache
 def code_digest(root: str) -> str:
-    """Of every source file that can change a result."""
+    """Of every source file that can change a result, as it was when this process first asked."""
+    return digest_now(root)
+
+
+def digest_now(root: str) -> str:
     digest = blake2b(digest_size=12)
     folder = Path(root) / "lemonway" if root else Path(brain.__file__).parent
     for path in sorted(folder.rglob("*.py")):
--- a/lemonway/kit/experiment/report.py
+++ b/lemonway/kit/experiment/report.py
@@ -113,13 +113,14 @@
 # charts
 
 
-def _svg(figure: Any) -> str:
+def _svg(figure: Any, wide: bool = True) -> str:
+    """The figure as SVG text, as wide as the page or, not ``wide``, in its own size."""
     out = io.StringIO()
     figure.savefig(out, format="svg", transparent=True, bbox_inches="tight", metadata={"Date": None})
     pyplot.close(figure)
     text = out.getvalue()
-    return re.sub(r'width="[\d.]+pt" height="[\d.]+pt"', 'width="100%"', text[text.index("<svg") :].replace(
-        INK, "currentColor"), count=1)
+    text = text[text.index("<svg") :].replace(INK, "currentColor")
+    return re.sub(r'width="[\d.]+pt" height="[\d.]+pt"', 'width="100%"', text, count=1) if wide else text
 
 
 def _axes(width: float = 8.0, height: float = 3.2) -> tuple[Any, Any]:
@@ -196,7 +197,7 @@
     axes.set_yticks(range(len(down)), [f"{v}" for v in down])
     axes.set_xlabel(keys[1])
     axes.set_ylabel(keys[0])
-    return _svg(figure)
+    return _svg(figure, wide=False)
 
 
 def latency_table(arms: Sequence[Arm]) -> tuple[list[str], list[list[str]]]:
--- a/lemonway/kit/experiment/runner.py
+++ b/lemonway/kit/experiment/runner.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from ... import brain
-from .plan import Run
+from .plan import Run, code_digest, digest_now
 from .store import Store
 
 TIMEOUT = 1800  # seconds for one run
@@ -34,6 +34,9 @@
     if done.returncode:
         last = (done.stderr.strip().splitlines() or ["no word"])[-1]
         raise RunError(f"{run.scenario}, {run.arm}, seed {run.seed}: {last}")
+    if digest_now(run.code) != code_digest(run.code):
+        # Guards against a result that is kept under the name of code that did not make it.
+        raise RunError(f"the code of {root} changed while the experiment ran: start it again")
     figures: dict[str, Any] = json.loads(done.stdout)
     return figures
 
