--- a/lemonway/kit/cli.py
+++ b/lemonway/kit/cli.py
@@ -182,22 +182,31 @@
 @click.option("--html", type=click.Path(dir_okay=False), help="Write one page that needs nothing else.")
 @click.option("--csv", "csv_", type=click.Path(dir_okay=False), help="Write a row a run.")
 @click.option("--markdown", type=click.Path(dir_okay=False), help="Write the table of arms.")
-def experiment_report(file: str, store: str, html: str | None, csv_: str | None, markdown: str | None) -> None:
+@click.option("--against", type=click.Path(exists=True, dir_okay=False), help="Mark what fell since then.")
+def experiment_report(
+    file: str, store: str, html: str | None, csv_: str | None, markdown: str | None, against: str | None,
+) -> None:
     """Show what is kept of an experiment."""
     from .experiment import report as pages
+    from .experiment.store import Store, StoreError
 
     plan, runs, kept = _experiment(file, store)
     arms = pages.arms_of(runs, kept.figures(runs))
     if not arms:
         fail(f"{store}: nothing of this experiment is kept; play it with 'lemonway experiment run'")
+    try:
+        earlier = Store(against) if against is not None else None
+    except StoreError as error:
+        fail(error)
+        return
     if html is not None:
-        Path(html).write_text(pages.to_html(plan, runs, arms), encoding="utf-8")
+        Path(html).write_text(pages.to_html(plan, runs, arms, earlier), encoding="utf-8")
     if csv_ is not None:
         Path(csv_).write_text(pages.to_csv(arms), encoding="utf-8")
     if markdown is not None:
-        Path(markdown).write_text(pages.to_markdown(plan, arms), encoding="utf-8")
+        Path(markdown).write_text(pages.to_markdown(plan, arms, earlier), encoding="utf-8")
     if html is csv_ is markdown is None:
-        click.echo(pages.to_markdown(plan, arms), nl=False)
+        click.echo(pages.to_markdown(plan, arms, earlier), nl=False)
 
 
 @experiment.command("compare")
--- a/lemonway/kit/experiment/report.py
+++ b/lemonway/kit/experiment/report.py
@@ -17,6 +17,7 @@
 
 from .compare import Difference, compare, interval
 from .plan import Plan, Run
+from .store import Store
 
 matplotlib.use("svg")
 from matplotlib import pyplot  # noqa: E402
@@ -77,6 +78,18 @@
     return rows
 
 
+def history(arms: Sequence[Arm], earlier: Store) -> tuple[list[str], list[list[str]]]:
+    """Each arm against the same arm in an earlier store, by seed; a fall beyond the spread is a regression."""
+    rows = []
+    for arm in arms:
+        found = compare(earlier.services(arm.scenario, arm.name), arm.values())
+        verdict = "not there" if not found.pairs else "-"
+        if found.shown:
+            verdict = "REGRESSION" if found.mean < 0 else "better"
+        rows.append([arm.scenario, arm.name, found.words() if found.pairs else "-", verdict])
+    return ["scenario", "arm", "against the earlier store", "verdict"], rows
+
+
 def table(arms: Sequence[Arm]) -> tuple[list[str], list[list[str]]]:
     head = ["scenario", "arm", "seeds", *(name for _, name in PARTS), "95% of service", "against the first arm",
             "tries", "rules broken"]
@@ -104,10 +117,12 @@
     return out.getvalue()
 
 
-def to_markdown(plan: Plan, arms: Sequence[Arm]) -> str:
-    head, rows = table(arms)
-    lines = [f"# {plan.title}", "", "| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
-    return "\n".join(lines + ["| " + " | ".join(row) + " |" for row in rows]) + "\n"
+def to_markdown(plan: Plan, arms: Sequence[Arm], earlier: Store | None = None) -> str:
+    lines = [f"# {plan.title}"]
+    for head, rows in [table(arms)] + ([history(arms, earlier)] if earlier else []):
+        lines += ["", "| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
+        lines += ["| " + " | ".join(row) + " |" for row in rows]
+    return "\n".join(lines) + "\n"
 
 
 # charts
@@ -209,7 +224,7 @@
     return ["arm", "class", "p50 ms", "p90 ms", "p99 ms"], rows
 
 
-def to_html(plan: Plan, runs: Sequence[Run], arms: Sequence[Arm]) -> str:
+def to_html(plan: Plan, runs: Sequence[Run], arms: Sequence[Arm], earlier: Store | None = None) -> str:
     environment = jinja2.Environment(
         loader=jinja2.PackageLoader("lemonway.kit.experiment"), autoescape=True, undefined=jinja2.StrictUndefined,
         trim_blocks=True, lstrip_blocks=True)
@@ -224,7 +239,8 @@
             cells *= len(values)
         sections.append({
             "name": name, "title": next(iter(mine[0].days.values()))["title"], "chart": service_chart(mine),
-            "table": table(mine), "heat": heat_chart(plan, runs, mine) if square and len(mine) == cells else "",
+            "table": table(mine), "history": history(mine, earlier) if earlier else None,
+            "heat": heat_chart(plan, runs, mine) if square and len(mine) == cells else "",
             "latency": latency_table(mine),
             "days": [{"arm": arm.name, "chart": day_chart(arm), "table": day_table(arm)} for arm in mine[:ARMS_DRAWN]],
             "left_out": max(0, len(mine) - ARMS_DRAWN),
--- a/lemonway/kit/experiment/store.py
+++ b/lemonway/kit/experiment/store.py
@@ -60,6 +60,13 @@
         except sqlite3.Error as error:
             raise StoreError(f"{self.path}: {error}") from None
 
+    def services(self, scenario: str, arm: str) -> dict[int, float]:
+        """Service by seed of an arm, whatever code made it; of several, that of the code that was kept last by name."""
+        rows = self._db.execute(
+            "select seed, service from runs where scenario = ? and arm = ? and service is not null order by code",
+            (scenario, arm))
+        return dict(rows.fetchall())
+
     def figures(self, runs: Iterable[Run]) -> dict[str, dict[str, Any]]:
         """By digest; those that are not kept are left out."""
         out = {}
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -183,6 +183,31 @@
         self.assertEqual([found.seeds_for(d) for d in (0.1, 0.05, 0.01, 0.0)], [8, 32, 785, None])
 
 
+class History(Folder):
+    def test_a_fall_beyond_the_spread_is_marked_and_nothing_else(self) -> None:
+        path = self.file(seeds=6)
+        runs, old = plan.runs(plan.load(path), path), Store(str(self.folder / "old"))
+        self.addCleanup(old.close)
+        base = {run.seed: 0.8 + run.seed / 100 for run in runs}
+        for run in runs:
+            old.add(run, self.day(base[run.seed]))
+        for name, fall, verdict in [
+            ("as before", 0.0, "-"), ("a fall", 0.05, "REGRESSION"), ("a rise", -0.05, "better"),
+        ]:
+            with self.subTest(name):
+                days = {seed: self.day(value - fall + seed % 2 / 1000) for seed, value in base.items()}
+                if not fall:
+                    days = {seed: self.day(value + (-1) ** seed / 1000) for seed, value in base.items()}
+                arm = report.Arm(runs[0].scenario, runs[0].arm, days)
+                self.assertEqual(report.history([arm], old)[1][0][-1], verdict)
+        strange = report.Arm("another", "arm", {1: self.day(0.5)})
+        self.assertEqual(report.history([strange], old)[1][0][-1], "not there")
+
+    @staticmethod
+    def day(service: float) -> dict[str, Any]:
+        return {"version": 1, "rules": {}, "service": {"figure": service}}
+
+
 class Page(HTMLParser):
     def __init__(self, text: str) -> None:
         super().__init__()
