--- a/lemonway/kit/emulator/report.py
+++ b/lemonway/kit/emulator/report.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+from hdrh.histogram import HdrHistogram
 from rich.console import Console
 from rich.table import Table
 
@@ -26,11 +27,18 @@
     return round(value, 6)
 
 
-def _percentiles(values: Sequence[float]) -> dict[str, float]:
-    ordered = sorted(values)
-    if not ordered:
+def histogram(encoded: Sequence[str] = ()) -> HdrHistogram:
+    """Times to an answer in whole milliseconds, to three digits, up to an hour: empty, or what these hold together."""
+    whole = HdrHistogram(1, 3_600_000, 3)
+    for text in encoded:
+        whole.add(HdrHistogram.decode(text.encode()))
+    return whole
+
+
+def percentiles(times: HdrHistogram) -> dict[str, float]:
+    if not times.get_total_count():
         return {}
-    return {f"p{int(q * 100)}": _round(ordered[min(len(ordered) - 1, int(q * len(ordered)))]) for q in (0.5, 0.9, 0.99)}
+    return {f"p{q:g}": float(times.get_value_at_percentile(q)) for q in (50, 90, 99)}
 
 
 def figures(result: Result) -> dict[str, Any]:
@@ -52,11 +60,14 @@
     tries = Counter(min(r.tries, TRIES_SHOWN) for r in requests)
     lanes = []
     for n, (kind, lane) in enumerate(zip(s.classes, service.lanes, strict=True)):
-        mine = [r for r in requests if r.lane == n]
+        mine, times = [r for r in requests if r.lane == n], histogram()
+        for r in mine:
+            if r.served_at >= 0:
+                times.record_value(max(1, (r.served_at - r.asked) // 1000))
         lanes.append({
             "name": kind.name, "asked": lane.count, "in_time": lane.in_time,
             "served": sum(r.served_at >= 0 for r in mine), "share": _round(lane.share),
-            "answered_ms": _percentiles([(r.served_at - r.asked) / 1000 for r in mine if r.served_at >= 0]),
+            "answered_ms": percentiles(times), "answered_hdr": times.encode().decode(),
         })
     totals = result.totals
     return {
--- a/lemonway/kit/experiment/report.py
+++ b/lemonway/kit/experiment/report.py
@@ -15,6 +15,7 @@
 import jinja2
 import matplotlib
 
+from ..emulator.report import histogram, percentiles
 from .compare import Difference, compare, interval
 from .plan import Plan, Run
 from .store import Store
@@ -53,10 +54,10 @@
     def tries(self) -> float:
         return fmean(day["tries"]["mean"] for day in self.days.values())
 
-    def percentile(self, lane: str, q: str) -> float | None:
-        rows = [row["answered_ms"][q] for day in self.days.values() for row in day["classes"]
-                if row["name"] == lane and q in row["answered_ms"]]
-        return fmean(rows) if rows else None
+    def percentiles(self, lane: str) -> dict[str, float]:
+        """Of the times to an answer of all its days together."""
+        return percentiles(histogram([row["answered_hdr"] for day in self.days.values() for row in day["classes"]
+                                      if row["name"] == lane]))
 
 
 def arms_of(runs: Sequence[Run], figures: dict[str, dict[str, Any]]) -> list[Arm]:
@@ -219,8 +220,8 @@
     rows = []
     for arm in arms:
         for row in next(iter(arm.days.values()))["classes"]:
-            cells = [arm.percentile(row["name"], q) for q in ("p50", "p90", "p99")]
-            rows.append([arm.name, row["name"], *("-" if c is None else f"{c:.0f}" for c in cells)])
+            found = arm.percentiles(row["name"])
+            rows.append([arm.name, row["name"], *(f"{found[q]:.0f}" if found else "-" for q in ("p50", "p90", "p99"))])
     return ["arm", "class", "p50 ms", "p90 ms", "p99 ms"], rows
 
 
--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -255,6 +255,10 @@
             data = json.loads(file.read_text())
             self.assertEqual((data["version"], data["rules"]), (1, dict.fromkeys(data["rules"], 0)))
             self.assertEqual(sum(row["asked"] for row in data["windows"]), data["requests"])
+            once = report.histogram([row["answered_hdr"] for row in data["classes"]])
+            self.assertEqual(once.get_total_count(), data["outcomes"]["served"])
+            self.assertEqual(report.percentiles(report.histogram([data["classes"][0]["answered_hdr"]])),
+                             data["classes"][0]["answered_ms"])
             self.assertGreater(len(life.read_text().splitlines()), data["requests"])
 
     def test_schema_and_list(self) -> None:
