--- a/lemonway/kit/emulator/virtual.py
+++ b/lemonway/kit/emulator/virtual.py
@@ -1,9 +1,9 @@
 """Virtual time: one loop for a whole fleet, with as much of a reactor as the node's turns ask for, and named random
 streams. It must not know what is played on it.
 
-Weighed: Twisted's ``task.Clock`` sorts a list of all its calls at each ``callLater``, which with the timers of 28 nodes
-costs more than the nodes themselves; SimPy runs generators, where the node has callbacks. A heap of (time, order) is
-what is left, and the order makes two events of one microsecond come in the order they were asked for."""
+Weighed: Twisted's ``task.Clock`` sorts a list of all its calls at each ``callLater``, and the timers of a whole fleet
+would be in it; SimPy runs generators, where the node has callbacks. A heap of (time, order) is what is left, and the order
+makes two events of one microsecond come in the order they were asked for."""
 
 from __future__ import annotations
 
@@ -127,7 +127,7 @@
 
 
 class Uniform:
-    """Single draws from a generator, taken from it in blocks: one at a time costs ten times as much."""
+    """Single draws from a generator, taken from it in blocks: one at a time costs twice as much."""
 
     __slots__ = ("_generator", "_block", "_at")
 
