--- a/lemonway/kit/emulator/virtual.py
+++ b/lemonway/kit/emulator/virtual.py
@@ -2,8 +2,8 @@
 streams. It must not know what is played on it.
 
 Weighed: Twisted's ``task.Clock`` sorts a list of all its calls at each ``callLater``, and the timers of a whole fleet
-would be in it; SimPy runs generators, where the node has callbacks. A heap of (time, order) is what is left, and the order
-makes two events of one microsecond come in the order they were asked for."""
+would be in it; SimPy runs generators, where the node has callbacks. A heap of (time, order) is what is left, and the
+order makes two events of one microsecond come in the order they were asked for."""
 
 from __future__ import annotations
 
--- a/lemonway/kit/experiment/store.py
+++ b/lemonway/kit/experiment/store.py
@@ -1,8 +1,8 @@
 """Where results are kept: one SQLite file, a row a run. A run that is in it is never played again.
 
-Weighed: DuckDB reads columns faster, which a few thousand rows do not need, and lets one process write; SQLite is in the
-standard library, and in write-ahead mode a file that was cut off in the middle of a write opens with every row that was
-finished."""
+Weighed: DuckDB reads columns faster, which a few thousand rows do not need, and lets one process write; SQLite is in
+the standard library, and in write-ahead mode a file that was cut off in the middle of a write opens with every row
+that was finished."""
 
 from __future__ import annotations
 
--- a/lemonway/net/program/logs.py
+++ b/lemonway/net/program/logs.py
@@ -1,8 +1,8 @@
 """Where the log goes and in which form: key=value for people, JSON lines for programs. Nothing logs on the hot path.
 
 Weighed: structlog brings a pipeline of its own and its imports; logfmter and python-json-logger are formatters of the
-standard library's logging. Memory at start is the same with and without them, and the second is imported only where it is
-asked for."""
+standard library's logging. Memory at start is the same with and without them, and the second is imported only where it
+is asked for."""
 
 from __future__ import annotations
 
