--- a/lemonway/kit/emulator/wire/pipes.py
+++ b/lemonway/kit/emulator/wire/pipes.py
@@ -39,7 +39,6 @@
         self._held: list[bytes] = []  # came while its protocol did not want to read
         self._joined: list[bytes] = []  # waits to go out together
         self._free_at = 0  # nothing may overtake what leaves until then
-        self._flying = 0  # pieces on their way
         self.life = 0  # a cut voids what is on its way
 
     # as a transport
@@ -73,8 +72,7 @@
         for piece in pieces:
             when = max(self.loop.now + manners.delay, self._free_at)
             self._free_at = when + (1 + uniform.below(2 * manners.delay) if len(pieces) > 1 else 0)
-            self._flying += 1
-            self.loop.at(when, self.peer._come, piece, self.peer.life, self)
+            self.loop.at(when, self.peer._come, piece, self.peer.life)
 
     def loseConnection(self, *_: object) -> None:
         """Close once what was written has arrived."""
@@ -116,8 +114,7 @@
 
     # what arrives
 
-    def _come(self, data: bytes, life: int, sender: End) -> None:
-        sender._flying -= 1
+    def _come(self, data: bytes, life: int) -> None:
         if life == self.life and self.connected:
             if self._reading:
                 self._hand(data)
