Play a rehearsal live: real node processes, the emulator's models on sockets in real time

Troubles gain reload (new addresses and SIGHUP, also over pipes) and pause (SIGSTOP, live only). Nodes are reconciled with what was seen of them from outside.

--- a/lemonway/kit/clients.py
+++ b/lemonway/kit/clients.py
@@ -13,7 +13,7 @@
 
 
 class RouterSide(LineReceiver):
-    """Reads answers: arrays of bulk strings."""
+    """Reads answers: arrays of bulk strings. Whoever reads something else of that form takes ``whole``."""
 
     transport: Any
 
@@ -44,9 +44,12 @@
         self._items.append(item)
         self._left -= 1
         if self._left == 0:
-            self.client.received(self._items)
+            self.whole(self._items)
         self.setLineMode(rest)
 
+    def whole(self, items: list[bytes]) -> None:
+        self.client.received(items)
+
 
 class RouterClient(ClientFactory):
     """A router's connection. Answers are kept as (word, fields, body) by tag."""
--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -6,7 +6,7 @@
 import gc
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ...interface import Advice, Effect, Halt, Lane, Settings, Tenant
@@ -20,7 +20,7 @@
 from .recovery.troubles import Plan, Troubles
 from .requests import Request, Try
 from .routing.router import Habit, Router
-from .scenario import Draw, Kind, Scenario
+from .scenario import Draw, Kind, Scenario, ScenarioError
 from .service import Asked, Goal, Service, serve
 from .state.machine import Build, Machine
 from .traffic import HOLD_KB, Mix, draw_requests, mix_of, quotas
@@ -66,13 +66,14 @@
 
     def __init__(
         self, scenario: Scenario, seed: int, make_core: CoreMaker = Core, keep: bool = False, wire: bool = False,
+        loop: Loop | None = None,
     ) -> None:
         """``make_core`` builds each node's core; ``keep`` keeps every try, for a trace; ``wire`` plays whole nodes over
-        byte pipes."""
+        byte pipes; ``loop`` is another than that of virtual time, for a part of a live rehearsal."""
         self.scenario, self.make_core, self.keep = scenario, make_core, keep
         self.streams = Streams(seed)
         self.draw = Draw(self.streams)
-        self.loop = Loop()
+        self.loop = loop or Loop()
         self.mix = mix_of(scenario, self.draw)
         self.call_work = self.draw("acervo.work", scenario.acervo.work)
         self.reading = self.draw("fleet.reading", scenario.fleet.reading)
@@ -216,11 +217,7 @@
         tier = int(name not in self.tiers[0])
         self.lives_begun[name] += 1
         seed = self.streams.number(f"node/{name}/{self.lives_begun[name]}")
-        kind: type[Life] = Life
-        extra: Any = self.proxies
-        if self.plumbing is not None:
-            uniform = Uniform(self.streams[f"wire/{name}/{self.lives_begun[name]}"])
-            kind, extra = WireLife, (self.plumbing, self.scenario.wire, uniform, self.proxies)
+        kind, extra = self._kind(name)
         life = kind(
             self.loop, self.machines[name], self.settings[tier], seed, cold, self.bounds, self.audits[tier],
             self.totals[tier], self.reading * self.mix.mean_work * (1.0 if tier == 0 else self.call_work),
@@ -230,18 +227,25 @@
         self.books.append(life.book)
         return life
 
+    def _kind(self, name: str) -> tuple[type[Life], Any]:
+        """What a life on this machine is built as, and what it is given besides."""
+        if self.plumbing is None:
+            return Life, self.proxies
+        uniform = Uniform(self.streams[f"wire/{name}/{self.lives_begun[name]}"])
+        return WireLife, (self.plumbing, self.scenario.wire, uniform, self.proxies)
+
     def _ended(self, life: Life, how: str) -> None:
-        self._gather(life)
+        self.gather(life)
         self.keeper.ended(life, how)
 
-    def _gather(self, life: Life) -> None:
+    def gather(self, life: Life) -> None:
         tier = int(life.name not in self.tiers[0])
         self.lost_counters[tier].update(life.core.counters)
         self.lost_counters[tier]["loop_faults"] += life.turns.faults
         if self.keep:
             self.all_tries.extend(life.known.values())
 
-    def _life(self, name: str) -> Life | None:
+    def life_of(self, name: str) -> Life | None:
         life = self.keeper.lives.get(name)
         return life if isinstance(life, Life) and not life.dead else None
 
@@ -257,21 +261,28 @@
                 life.calls.state = state
 
     def deafen(self, name: str) -> None:
-        if life := self._life(name):
+        if life := self.life_of(name):
             life.deafen()
 
     def break_link(self, name: str) -> None:
-        if life := self._life(name):
+        if life := self.life_of(name):
             life.break_link()
 
     def link(self, name: str) -> None:
-        if life := self._life(name):
+        if life := self.life_of(name):
             life.mend_link()
 
     def reset(self, name: str) -> None:
-        if life := self._life(name):
+        if life := self.life_of(name):
             life.reset_links()
 
+    def reload(self, name: str) -> None:
+        if life := self.life_of(name):
+            life.reload()
+
+    def pause(self, name: str, length: int) -> None:
+        raise NotImplementedError  # ``play`` turns such a day away
+
     # the day
 
     def plans(self) -> list[tuple[Plan, list[int], int]]:
@@ -283,22 +294,28 @@
                 t.kind, START + int(self.draw(f"{key}.at", t.at) * SECOND),
                 int(self.draw(f"{key}.seconds", t.seconds) * SECOND), self.draw(f"{key}.part", t.part),
                 self.draw(f"{key}.size", t.size), int(t.tier == "acervo"), t.state,
-                int(t.every_s * SECOND) if t.kind in ("link", "reset") else 0, int(self.scenario.rules.stop_ms * 1000))
+                int(t.every_s * SECOND) if t.kind in ("link", "reset", "reload", "pause") else 0, int(self.scenario.rules.stop_ms * 1000))
             lanes = [i for i, c in enumerate(self.scenario.classes) if c.name in t.classes]
             museum = next((i for i, team in enumerate(self.scenario.tenants) if team.name == t.tenant), -1)
             rows.append((plan, lanes, museum))
         return rows
 
+    def requests(self) -> list[Request]:
+        """All first tries of the day, in the order they are asked."""
+        bursts = [row for row in self.plans() if row[0].kind == "burst"]
+        return draw_requests(self.scenario, self.streams, self.draw, self.mix, self.capacity, bursts, self.call_work)
+
+    def set_troubles(self, shift: int) -> None:
+        """Put the day's troubles on the loop, all of them ``shift`` microseconds later than drawn."""
+        troubles = Troubles(self.loop, self.keeper, self, self.tiers)
+        for n, (plan, _, _) in enumerate(self.plans()):
+            troubles.set(replace(plan, at=plan.at + shift), self.streams[f"trouble/{n}"])
+
     def play(self, progress: Callable[[float], None] | None = None) -> Result:
         """``progress`` is told the share of the day that is over, once a second of it."""
-        plans = self.plans()
-        bursts = [row for row in plans if row[0].kind == "burst"]
-        requests = draw_requests(
-            self.scenario, self.streams, self.draw, self.mix, self.capacity, bursts, self.call_work)
+        requests = self.requests()
         self.number = len(requests)
-        troubles = Troubles(self.loop, self.keeper, self, self.tiers)
-        for n, (plan, _, _) in enumerate(plans):
-            troubles.set(plan, self.streams[f"trouble/{n}"])
+        self.set_troubles(0)
         for tier, row in enumerate(self.tiers):
             for name in row:
                 self.services[tier].seed(name)
@@ -313,11 +330,11 @@
         self.loop.run(end, lambda now: self._rest(now, over, clients, progress))
         for tier, names in enumerate(self.tiers):
             for name in names:
-                if life := self._life(name):
-                    self._gather(life)
+                if life := self.life_of(name):
+                    self.gather(life)
             mine = set(names)
             self.audits[tier].close([b for b in self.books if b.node in mine], self.loop.now)
-        return self._result(requests, ended)
+        return self.result(requests, ended)
 
     def _rest(
         self, now: int, over: int, clients: Clients, progress: Callable[[float], None] | None,
@@ -329,7 +346,7 @@
             isinstance(life, Life) and (life.open or life.pool.runs or life.leaving) and not life.dead
             for life in self.keeper.lives.values())
 
-    def _result(self, requests: list[Request], ended: dict[int, int]) -> Result:
+    def result(self, requests: list[Request], ended: dict[int, int]) -> Result:
         s = self.scenario
         goal = Goal(
             tuple(int(c.aim_ms * 1000) for c in s.classes), tuple(c.worth for c in s.classes),
@@ -363,6 +380,9 @@
     progress: Callable[[float], None] | None = None, wire: bool = False,
 ) -> Result:
     """Play one day. The collector of cyclic rubbish rests meanwhile: a day leaves little of it and much to look at."""
+    for n, trouble in enumerate(scenario.trouble):
+        if trouble.kind == "pause":
+            raise ScenarioError(f"{scenario.title}: trouble.{n}.kind: a process can only be stopped live (--live)")
     enabled: Any = gc.isenabled()
     gc.disable()
     try:
--- a/lemonway/kit/emulator/membership/__init__.py
+++ b/lemonway/kit/emulator/membership/__init__.py
@@ -44,9 +44,11 @@
         entry = self.entries[name]
         entry.reported = self.loop.now
         if entry.listed is not accepting:
-            self._set(name, entry, accepting)
+            self.set(name, accepting)
 
-    def _set(self, name: str, entry: Entry, listed: bool) -> None:
+    def set(self, name: str, listed: bool) -> None:
+        """Put a name on the list or take it off; each view sees it after its lag."""
+        entry = self.entries[name]
         entry.listed = listed
         entry.version += 1
         self.changes += 1
@@ -59,7 +61,7 @@
             edge = self.loop.now - LAPSE
             for name, entry in self.entries.items():
                 if entry.listed and entry.reported < edge:
-                    self._set(name, entry, False)
+                    self.set(name, False)
 
 
 class View:
--- a/lemonway/kit/emulator/node.py
+++ b/lemonway/kit/emulator/node.py
@@ -65,8 +65,15 @@
         self.open: dict[int, int] = {}  # a run's ident: the number of its call
         self.refusal: dict[str, Outcome] = {"decline": Outcome.TURNED_AWAY, "refuse": Outcome.UNREACHABLE}
 
+    def parent(self, txn: str, body: bytes) -> Request | None:
+        """The request whose run makes this call, or None if there is none."""
+        t = self.life.known.get(txn)
+        return None if t is None else t.request
+
     def call(self, ident: int, txn: str, patience: int, body: bytes, once: bool) -> None:
-        life, parent = self.life, self.life.known[txn].request
+        life, parent = self.life, self.parent(txn, body)
+        if parent is None:
+            raise KeyError(txn)  # whoever calls has asked before
         which = int(body.rsplit(b"#", 1)[1])
         number = self.number()
         key = blake2b(f"{parent.unique}#{which}".encode(), digest_size=16).hexdigest() if parent.keyed else ""
@@ -308,6 +315,9 @@
     def mend_link(self) -> None:
         self.pool.link()
 
+    def reload(self) -> None:
+        """SIGHUP: the addresses of its links are others. Here they are calls and have none."""
+
     def reset_links(self) -> None:
         """Each router resets its connections: what was open there gets no answer, which breaks no rule."""
         for link in list(self.links.values()):
--- a/lemonway/kit/emulator/recovery/troubles.py
+++ b/lemonway/kit/emulator/recovery/troubles.py
@@ -32,6 +32,10 @@
 
     def reset(self, name: str) -> None: ...
 
+    def reload(self, name: str) -> None: ...
+
+    def pause(self, name: str, length: int) -> None: ...
+
 
 @dataclass(frozen=True)
 class Plan:
@@ -62,7 +66,8 @@
         self._slowed: dict[str, float] = {}
         self._kinds: dict[str, Callable[[Plan, np.random.Generator], None]] = {
             "crash": self._crash, "slow": self._slow, "deploy": self._deploy, "link": self._link,
-            "acervo": self._acervo, "burst": self._burst, "reset": self._reset,
+            "acervo": self._acervo, "burst": self._burst, "reset": self._reset, "reload": self._reload,
+            "pause": self._pause,
         }
 
     def set(self, plan: Plan, draw: np.random.Generator) -> None:
@@ -125,6 +130,22 @@
             for name in names:
                 self.loop.after(at + int(draw.random() * plan.every), self.struck.reset, name)
 
+    def _reload(self, plan: Plan, draw: np.random.Generator) -> None:
+        """Some nodes get new addresses for their links and SIGHUP, each at moments of its own."""
+        names = some(self.tiers[plan.tier], plan.part, draw)
+        self.keeper.note(f"new addresses for {', '.join(names)} for {plan.length / SECOND:.1f} s")
+        for at in range(0, plan.length, plan.every):
+            for name in names:
+                self.loop.after(at + int(draw.random() * plan.every), self.struck.reload, name)
+
+    def _pause(self, plan: Plan, draw: np.random.Generator) -> None:
+        """Some nodes' processes stand still for ``size`` milliseconds, once in each ``every``."""
+        names = some(self.tiers[plan.tier], plan.part, draw)
+        self.keeper.note(f"{', '.join(names)} stand still {plan.size:.0f} ms at a time for {plan.length / SECOND:.1f} s")
+        for at in range(0, plan.length, plan.every):
+            for name in names:
+                self.loop.after(at + int(draw.random() * plan.every), self.struck.pause, name, int(plan.size * 1000))
+
     def _acervo(self, plan: Plan, draw: np.random.Generator) -> None:
         self.keeper.note(f"acervo: {plan.state} for {plan.length / SECOND:.1f} s")
         self.struck.set_calls(plan.state)
--- a/lemonway/kit/emulator/scenario.py
+++ b/lemonway/kit/emulator/scenario.py
@@ -214,10 +214,11 @@
     """``burst``: the rate goes to ``size`` times. ``crash``: ``part`` of the nodes die and are back, cold, after
     ``seconds``. ``slow``: ``part`` run ``size`` times slower. ``deploy``: ``part`` are replaced within ``seconds``,
     ``size`` of the fleet at a time. ``link``: the links to the pools of ``part`` break each ``every_s``. ``reset``:
-    routers reset their connections to ``part`` each ``every_s``. ``acervo``:
-    the next tier is as ``state`` says."""
+    routers reset their connections to ``part`` each ``every_s``. ``reload``: ``part`` get new addresses for their links,
+    and SIGHUP, each ``every_s``. ``pause``: the processes of ``part`` stand still for ``size`` milliseconds each
+    ``every_s``; it is played live only. ``acervo``: the next tier is as ``state`` says."""
 
-    kind: Literal["burst", "crash", "slow", "deploy", "link", "acervo", "reset"]
+    kind: Literal["burst", "crash", "slow", "deploy", "link", "acervo", "reset", "reload", "pause"]
     at: Span = Field(description="seconds from the beginning of the day")
     seconds: Span = 10.0
     part: Span = 0.2
@@ -233,6 +234,8 @@
         _ordered(self.at, self.seconds, self.part, self.size)
         if self.kind == "slow" and _low(self.size) < 1:
             raise ValueError("size: a slow machine is at least 1 times slower")
+        if self.kind == "pause" and _high(self.size) > 2000:
+            raise ValueError("size: a process may stand still for at most 2000 ms")
         if self.kind != "burst" and _high(self.part) > 1:
             raise ValueError("part: at most 1")
         if self.kind == "deploy" and not 0 < _high(self.size) <= 1:
--- a/lemonway/kit/emulator/wire/life.py
+++ b/lemonway/kit/emulator/wire/life.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from ....net.ports import Answer
@@ -16,7 +17,7 @@
 from ..scenario import Wire
 from ..virtual import Uniform
 from .peers import PoolEnd, Proxy, WireLink, hear_report
-from .pipes import NodeReactor, Plumbing
+from .pipes import Listener, NodeReactor, Plumbing
 
 PORT = 1  # addresses here are names; every one has this port
 
@@ -29,6 +30,8 @@
         self.wire: Wire
         self.plumbing, self.wire, self.uniform, proxies = extra
         assert isinstance(self.uniform, Uniform)
+        self.moves = 0  # new addresses so far
+        self.proxy_listener: Listener | None = None
         self.teams = [team.name for team in self.settings.tenants]
         router = proxies.get(self.name)
         reactor = NodeReactor(self.plumbing, self, self._datagram, lambda: self.die("left"), self._closed)
@@ -44,7 +47,7 @@
         self.pool_listener = self.plumbing.listen((f"pool/{self.name}", PORT), self.pool_end, self)
         if router is not None:
             self.calls = proxy = Proxy(self, router, self.next_number, self.uniform, self.wire.spoil, self.wire.extra)
-            self.plumbing.listen((f"catalogue/{self.name}", PORT), proxy, self)
+            self.proxy_listener = self.plumbing.listen((f"catalogue/{self.name}", PORT), proxy, self)
 
     def start(self) -> None:
         self.turns.begin()
@@ -110,6 +113,21 @@
     def reset(self, link: Any) -> None:
         link.reset()
 
+    def reload(self) -> None:
+        """SIGHUP: from now on its peers are at other addresses, and nobody listens at the old ones."""
+        self.moves += 1
+        config = self.node.config
+        self.pool_listener.stopListening()
+        at = Address(f"pool/{self.name}/{self.moves}", PORT)
+        self.pool_listener = self.plumbing.listen((at.host, at.port), self.pool_end, self)
+        catalogue = config.catalogue
+        if self.proxy_listener is not None and isinstance(self.calls, Proxy):
+            self.proxy_listener.stopListening()
+            catalogue = Address(f"catalogue/{self.name}/{self.moves}", PORT)
+            self.proxy_listener = self.plumbing.listen((catalogue.host, catalogue.port), self.calls, self)
+        self.turns.begin()
+        self.node.adopt(replace(config, pool=at, catalogue=catalogue))
+
     # its end
 
     def _drain(self, stop_us: int) -> None:
--- a/lemonway/kit/emulator/wire/peers.py
+++ b/lemonway/kit/emulator/wire/peers.py
@@ -97,6 +97,8 @@
 class WireLink:
     """A router's connections to one life, of at most 32 open requests each."""
 
+    caller = Caller
+
     def __init__(self, life: WireLife, router: Router, delay: int) -> None:
         self.life, self.router, self.delay = life, router, delay
         self.callers: list[Caller] = []
@@ -105,7 +107,7 @@
     def call(self, t: Try) -> None:
         caller = next((c for c in self.callers if len(c.open) < OPEN_MOST and not c.drained and not c.closed), None)
         if caller is None:
-            caller = Caller(self)
+            caller = self.caller(self)
             self.callers.append(caller)
         caller.open[t.number] = t
         t.written = self.life.loop.now
@@ -125,7 +127,7 @@
 
     def check(self, tag: int, deep: bool) -> None:
         if self.checker is None or self.checker.closed or self.checker.drained:
-            self.checker = Caller(self)
+            self.checker = self.caller(self)
         self.checker.send(RouterClient.frame(b"CHECK", b"%d" % tag, b"probe=%d" % deep))
 
     def checked(self, tag: int, good: bool, feedback: float | None) -> None:
@@ -258,7 +260,7 @@
     def called(self, side: AcervoSide, txn: str, body: bytes) -> None:
         patience = self.patiences.pop() * 1000
         self.serial += 1
-        if txn not in self.life.known:
+        if self.parent(txn, body) is None:
             self._reply(side, "over", b"")
             return
         self.asking[self.serial] = side
--- /dev/null
+++ b/lemonway/kit/live/announce.py
@@ -0,0 +1,89 @@
+"""The announce service as a process: reports by UDP, and its list to whoever watches, a line for each change."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from ..emulator.membership import AnnounceService
+from ..emulator.virtual import Streams, Uniform
+from ..emulator.wire.peers import hear_report
+from .part import Control, Part
+
+
+class Watcher(Protocol):
+    """A router process that watches the list. Lines: NAME true|false."""
+
+    transport: Any
+
+    def __init__(self, feed: Feed) -> None:
+        self.feed = feed
+
+    def connectionMade(self) -> None:
+        self.feed.watchers[self] = None
+        for name, listed in self.feed.names.items():
+            self.tell(name, listed)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.feed.watchers.pop(self, None)
+
+    def tell(self, name: str, listed: bool) -> None:
+        self.transport.write(f"{name} {'true' if listed else 'false'}\n".encode())
+
+
+class Feed:
+    """Stands among the service's views, sees each change at once and passes it on; the lag is each router's own."""
+
+    def __init__(self, service: AnnounceService) -> None:
+        self.names = {name: False for name in service.entries}
+        self.watchers: dict[Watcher, None] = {}
+        service.views.append(self)  # type: ignore[arg-type]
+
+    def lag(self) -> int:
+        return 0
+
+    def see(self, name: str, listed: bool, version: int) -> None:
+        self.names[name] = listed
+        for watcher in self.watchers:
+            watcher.tell(name, listed)
+
+    def buildProtocol(self, addr: Any) -> Watcher:
+        return Watcher(self)
+
+
+class Reports(DatagramProtocol):
+    def __init__(self, part: AnnouncePart) -> None:
+        self.part = part
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:
+        self.part.loop.catch_up()
+        report = hear_report(datagram)
+        if report is None or report[0] not in self.part.service.entries:
+            self.part.bad += 1
+        elif self.part.uniform() >= self.part.scenario.wire.report_loss:
+            self.part.service.report(*report)
+
+
+class AnnouncePart(Part):
+    role = "announce"
+
+    def __init__(self, job: dict[str, Any], reactor: Any, control: Control) -> None:
+        super().__init__(job, reactor, control)
+        self.bad = 0
+        self.uniform = Uniform(Streams(self.seed)["announce/loss"])
+        self.service = AnnounceService(self.loop, [f"entrega-{n}" for n in range(self.scenario.fleet.nodes)])
+        self.feed = Feed(self.service)
+
+    def ready(self) -> None:
+        ports = [self.reactor.listenUDP(0, Reports(self), interface=self.host) for _ in (0, 1)]
+        feed = self.listen(self.feed)
+        self.say(ready={"reports": [f"{self.host}:{port.getHost().port}" for port in ports],
+                        "feed": [self.host, feed.getHost().port]})
+
+    def finish(self, order: dict[str, Any]) -> None:
+        self.result({"changes": self.service.changes, "bad_reports": self.bad})
+
+
+make = AnnouncePart
