Report a live rehearsal: verdict, watch table, bounds as JSON with a schema, exit codes

A hair of negative memory in the pool's gauge was written as -0.0000, which nodes count as a bad notice: the sum is held at 0 now. The counters of the nodes found it.

--- a/lemonway/kit/cli.py
+++ b/lemonway/kit/cli.py
@@ -20,7 +20,7 @@
 from .emulator import report, scenario
 from .emulator.day import play
 
-OK, BROKEN, BAD_INPUT = 0, 1, 2
+OK, BROKEN, BAD_INPUT, KIT_FAILED, VOID, INTERRUPTED = 0, 1, 2, 3, 4, 130
 
 
 def fail(message: object) -> None:
@@ -72,13 +72,19 @@
 @click.option("--json", "json_", type=click.Path(dir_okay=False), help="Write the figures to this file ('-': print).")
 @click.option("--trace", type=click.Path(dir_okay=False), help="Write the life of each try as JSON lines.")
 @click.option("--wire", is_flag=True, help="Whole nodes over byte pipes: parsers, links and their recovery as well.")
+@click.option("--live", is_flag=True, help="Real node processes on loopback sockets, in real time.")
+@click.option("--bounds", type=click.Path(dir_okay=False), help="Live: how late is too late (deploy/live.json).")
+@click.option("--node-log", type=click.Path(dir_okay=False), help="Live: write the nodes' own logs to this file.")
+@click.option("--force", is_flag=True, help="Live: play a day that is too large for this machine all the same.")
 def rehearse(
     scenario_: str, seed: int | None, seeds: int | None, jobs: int, json_: str | None, trace: str | None, wire: bool,
+    live: bool, bounds: str | None, node_log: str | None, force: bool,
 ) -> None:
-    """Play a day of a fleet in virtual time and report the service.
+    """Play a day of a fleet in virtual time, or live, and report the service.
 
     SCENARIO is a file or the name of a shipped one (`lemonway scenario list`). Ends with 0 if all rules were kept, 1 if
-    one was broken, 2 on bad input."""
+    one was broken, 2 on bad input. Live also with 3 if the kit could not play the day and 4 if the day is void, since
+    something that plays it fell behind."""
     try:
         plan = scenario.load(scenario_)
     except scenario.ScenarioError as error:
@@ -87,6 +93,10 @@
     first = plan.seed if seed is None else seed
     if seeds is not None and trace is not None:
         fail("--trace goes with one seed")
+    if live:
+        if seeds is not None or trace is not None or wire:
+            fail("--live plays one seed at a time, and goes with neither --trace nor --wire")
+        _rehearse_live(plan, first, json_, bounds, node_log, force)
     data: dict[str, Any]
     try:
         if seeds is None:
@@ -96,6 +106,8 @@
             data = report.summary(_play_all(plan, range(first, first + seeds), jobs, wire))
         if json_ is not None and json_ != "-":
             Path(json_).write_text(report.to_json(data), encoding="utf-8")
+    except scenario.ScenarioError as error:
+        fail(error)
     except OSError as error:
         fail(f"{error.filename}: {error.strerror}")
     if json_ == "-":
@@ -106,6 +118,39 @@
     sys.exit(BROKEN if any(sum(day["rules"].values()) for day in days) else OK)
 
 
+def _rehearse_live(
+    plan: scenario.Scenario, seed: int, json_: str | None, bounds_file: str | None, node_log: str | None, force: bool,
+) -> None:
+    from .live import report as live_report
+    from .live.supervisor import KitError, play_live
+    from .live.watch import BoundsError, load_bounds
+
+    try:
+        bounds = load_bounds(bounds_file)
+        with _bar(plan.title) as tell:
+            outcome = play_live(plan, seed, bounds, tell, node_log, force)
+        data = live_report.figures(outcome, bounds)
+        if json_ is not None and json_ != "-":
+            Path(json_).write_text(report.to_json(data), encoding="utf-8")
+    except BoundsError as error:
+        fail(error)
+        return
+    except KitError as error:
+        click.echo(f"lemonway: {error}", err=True)
+        sys.exit(KIT_FAILED)
+    except KeyboardInterrupt:
+        click.echo("lemonway: interrupted; every process that was started has ended", err=True)
+        sys.exit(INTERRUPTED)
+    except OSError as error:
+        fail(f"{error.filename}: {error.strerror}")
+        return
+    if json_ == "-":
+        click.echo(report.to_json(data), nl=False)
+    else:
+        live_report.render(data, Console(highlight=False, soft_wrap=True))
+    sys.exit({"kept": OK, "broken": BROKEN, "void": VOID}[data["verdict"]])
+
+
 def _play_all(plan: scenario.Scenario, seeds: Sequence[int], jobs: int, wire: bool) -> list[dict[str, Any]]:
     """In the order of the seeds, whatever the order in which they end."""
     rows: dict[int, dict[str, Any]] = {}
--- a/lemonway/kit/emulator/audit.py
+++ b/lemonway/kit/emulator/audit.py
@@ -50,7 +50,7 @@
 
 class Audit:
     def __init__(self, settings: Settings, slack: int = 0) -> None:
-        """``slack`` is added to each time limit, microseconds: on sockets it is 50 ms (PROTOCOL, the rules on sockets)."""
+        """``slack`` is added to each time limit, microseconds: 50 ms on sockets (PROTOCOL, the rules on sockets)."""
         self.settings = settings
         self.grace = int(settings.answer_grace * 1000) + slack
         self.deadlines = [int(lane.deadline * 1000) for lane in settings.lanes]
--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -30,6 +30,7 @@
 
 SECOND = 1_000_000
 TAIL = 5 * SECOND  # past the last deadline, for what is still to be told
+REPEATED = ("link", "reset", "reload", "pause")  # troubles that strike each so many seconds
 METERS = ("cpu_busy", "runnable", "mem_used", "sockets")
 SPEED_LEAST, SPEED_MOST = 0.25, 4.0  # of its kind's mean, that one machine may draw
 
@@ -294,7 +295,7 @@
                 t.kind, START + int(self.draw(f"{key}.at", t.at) * SECOND),
                 int(self.draw(f"{key}.seconds", t.seconds) * SECOND), self.draw(f"{key}.part", t.part),
                 self.draw(f"{key}.size", t.size), int(t.tier == "acervo"), t.state,
-                int(t.every_s * SECOND) if t.kind in ("link", "reset", "reload", "pause") else 0, int(self.scenario.rules.stop_ms * 1000))
+                int(t.every_s * SECOND) if t.kind in REPEATED else 0, int(self.scenario.rules.stop_ms * 1000))
             lanes = [i for i, c in enumerate(self.scenario.classes) if c.name in t.classes]
             museum = next((i for i, team in enumerate(self.scenario.tenants) if team.name == t.tenant), -1)
             rows.append((plan, lanes, museum))
--- a/lemonway/kit/emulator/recovery/troubles.py
+++ b/lemonway/kit/emulator/recovery/troubles.py
@@ -141,7 +141,8 @@
     def _pause(self, plan: Plan, draw: np.random.Generator) -> None:
         """Some nodes' processes stand still for ``size`` milliseconds, once in each ``every``."""
         names = some(self.tiers[plan.tier], plan.part, draw)
-        self.keeper.note(f"{', '.join(names)} stand still {plan.size:.0f} ms at a time for {plan.length / SECOND:.1f} s")
+        self.keeper.note(
+            f"{', '.join(names)} stand still {plan.size:.0f} ms at a time for {plan.length / SECOND:.1f} s")
         for at in range(0, plan.length, plan.every):
             for name in names:
                 self.loop.after(at + int(draw.random() * plan.every), self.struck.pause, name, int(plan.size * 1000))
--- a/lemonway/kit/emulator/scenario.py
+++ b/lemonway/kit/emulator/scenario.py
@@ -214,9 +214,9 @@
     """``burst``: the rate goes to ``size`` times. ``crash``: ``part`` of the nodes die and are back, cold, after
     ``seconds``. ``slow``: ``part`` run ``size`` times slower. ``deploy``: ``part`` are replaced within ``seconds``,
     ``size`` of the fleet at a time. ``link``: the links to the pools of ``part`` break each ``every_s``. ``reset``:
-    routers reset their connections to ``part`` each ``every_s``. ``reload``: ``part`` get new addresses for their links,
-    and SIGHUP, each ``every_s``. ``pause``: the processes of ``part`` stand still for ``size`` milliseconds each
-    ``every_s``; it is played live only. ``acervo``: the next tier is as ``state`` says."""
+    routers reset their connections to ``part`` each ``every_s``. ``reload``: ``part`` get new addresses for their
+    links, and SIGHUP, each ``every_s``. ``pause``: the processes of ``part`` stand still for ``size`` milliseconds
+    each ``every_s``; it is played live only. ``acervo``: the next tier is as ``state`` says."""
 
     kind: Literal["burst", "crash", "slow", "deploy", "link", "acervo", "reset", "reload", "pause"]
     at: Span = Field(description="seconds from the beginning of the day")
--- a/lemonway/kit/emulator/state/machine.py
+++ b/lemonway/kit/emulator/state/machine.py
@@ -108,7 +108,7 @@
         if self.build.memory_kb <= 0:
             return 0.0
         need = self.held_kb + self.build.run_factor * self.running_kb + self.build.kb_per_key * self.keys()
-        return need / self.build.memory_kb
+        return max(0.0, need / self.build.memory_kb)  # sums of what came and went may end a hair below 0
 
     def _weigh(self) -> None:
         share = self.memory_share()
--- a/lemonway/kit/live/acervo.py
+++ b/lemonway/kit/live/acervo.py
@@ -1,5 +1,5 @@
-"""The next tier as a process: the emulator's own lives of its nodes (the shipped core and policy) in real time, behind a
-proxy with an HTTP port for each node of the first tier."""
+"""The next tier as a process: the emulator's own lives of its nodes (the shipped core and policy) in real time, behind
+a proxy with an HTTP port for each node of the first tier."""
 
 from __future__ import annotations
 
--- a/lemonway/kit/live/clock.py
+++ b/lemonway/kit/live/clock.py
@@ -18,8 +18,8 @@
 
 
 class RealLoop(Loop):
-    """``zero`` is the microsecond of the monotonic clock at which the loop shows ``START``; processes that share it show
-    the same time. Whoever brings something from a socket calls ``catch_up`` first."""
+    """``zero`` is the microsecond of the monotonic clock at which the loop shows ``START``; processes that share it
+    show the same time. Whoever brings something from a socket calls ``catch_up`` first."""
 
     def __init__(self, reactor: Any, zero: int, failed: Callable[[BaseException], None]) -> None:
         """``failed`` is told what a model raised: nothing that follows could be trusted."""
--- a/lemonway/kit/live/door.py
+++ b/lemonway/kit/live/door.py
@@ -1,6 +1,6 @@
-"""The way into a machine: routers connect here, and each of their connections has one to the node behind it. What comes
-is read on the machine's cores before the node has it, gets the time at which it came, and is told to the machine's life;
-so is each answer. It must not judge what passes."""
+"""The way into a machine: routers connect here, and each of their connections has one to the node behind it. What
+comes is read on the machine's cores before the node has it, gets the time at which it came, and is told to the
+machine's life; so is each answer. It must not judge what passes."""
 
 from __future__ import annotations
 
@@ -61,8 +61,8 @@
 
 
 class DoorSide(RouterSide):
-    """A router's connection; also the client (``RouterSide.client``) of the one to the node, of which it sees answers by
-    ``received``. ``side`` is that connection, None until it is up."""
+    """A router's connection; also the client (``RouterSide.client``) of the one to the node, of which it sees answers
+    by ``received``. ``side`` is that connection, None until it is up."""
 
     def __init__(self, life: Behind) -> None:
         super().__init__(self)  # type: ignore[arg-type]
--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -48,12 +48,11 @@
         self.life = life
 
     def buildProtocol(self, addr: object) -> PoolSide:
-        side = super().buildProtocol(addr)
         self.life.loop.catch_up()
-        return side
+        return super().buildProtocol(addr)
 
     def command(self, side: PoolSide, name: str, words: list[str], body: bytes) -> None:
-        self.life.clock.catch_up()
+        self.life.loop.catch_up()
         if not self.life.dead:
             super().command(side, name, words, body)
             if name == "bind" and self.life.begun_after < 0:
@@ -84,7 +83,7 @@
             found = parse(text)
             if found is not None:
                 self.counters = found
-                self.life.clock.catch_up()
+                self.life.loop.catch_up()
                 self.life.counted()
             else:
                 self.lines = [*self.lines[1 - STDERR_KEPT:], text]
@@ -94,7 +93,7 @@
     outReceived = errReceived
 
     def processEnded(self, reason: Failure) -> None:
-        self.life.clock.catch_up()
+        self.life.loop.catch_up()
         code = getattr(reason.value, "exitCode", None)
         number = getattr(reason.value, "signal", None)
         # Its end may be seen before its last answers are.
@@ -104,10 +103,10 @@
 class LiveLife(Life):
     """``extra`` is the world that hosts it."""
 
+    loop: RealLoop
+
     def _build(self, seed: int, cold: bool, extra: Any) -> None:
         self.host: MachinesWorld = extra
-        assert isinstance(self.loop, RealLoop)
-        self.clock: RealLoop = self.loop
         self.seed, self.cold = seed, cold
         self.address = self.host.address(self.name)
         self.machine.keys = lambda: 0  # on sockets, what a node keeps of keys sits in its own memory (PROTOCOL)
@@ -127,12 +126,14 @@
         self.process = NodeProcess(self)
         self.transport: Any = None
         self.gone = False
+        self.started = 0
         self.begun_after = -1  # microseconds from its start to its first link
 
     # the process
 
     def start(self) -> None:
         host = self.host
+        host.pools[self.name].refuse(False)
         folder = host.folder / self.name
         folder.mkdir(exist_ok=True)
         self.file = folder / "config.json"
@@ -151,7 +152,7 @@
     def _write_config(self) -> None:
         host, port = self.address
         raw = node_json(
-            self.name, f"{host}:{port}", self.host.pools[self.name].address, self.host.reports[self.host.moves[self.name]],
+            self.name, f"{host}:{port}", self.host.pools[self.name].address, self.host.report_to(self.name),
             self.host.catalogue(self.name), self.seed, self.stop_ms, SOCKETS, MEMORY_MB, self.settings)
         fresh = self.file.with_suffix(".new")
         fresh.write_text(json.dumps(raw))
@@ -193,7 +194,7 @@
             self.callers.add(router)
             cost += HANDSHAKE
         t.door = now
-        t.door_unix = self.clock.unix_now() // 1_000_000
+        t.door_unix = self.loop.unix_now() // 1_000_000
         t.note(now, "came")
         self.known[t.txn] = self.open[t.number] = t
         side.reading[tag] = t
@@ -224,7 +225,8 @@
 
     def stray(self, items: list[bytes], t: Try | None) -> None:
         what = f"answered {items[1].decode('latin-1')!r} under tag {items[0].decode('latin-1')}"
-        self.audit.breach("duplicate", self.book, self.loop.now, what + (" once more" if t else ", which nobody asked"), t)
+        what += " once more" if t else ", which nobody asked"
+        self.audit.breach("duplicate", self.book, self.loop.now, what, t)
 
     def unread(self, why: str, opened: list[Try]) -> None:
         if self.dead:
--- a/lemonway/kit/live/machines.py
+++ b/lemonway/kit/live/machines.py
@@ -1,5 +1,5 @@
-"""The first tier's machines as a process: each with its cores, its pool, its door and its node, which is a process of its
-own. It keeps the nodes (starts, kills, drains, replaces) and plays the day's troubles on them."""
+"""The first tier's machines as a process: each with its cores, its pool, its door and its node, which is a process of
+its own. It keeps the nodes (starts, kills, drains, replaces) and plays the day's troubles on them."""
 
 from __future__ import annotations
 
@@ -83,6 +83,10 @@
         rows = self.catalogues.get(name)
         return rows[self.moves[name]] if rows else None
 
+    def report_to(self, name: str) -> str:
+        """The announce service's address, as this node has it."""
+        return self.reports[self.moves[name]]
+
     # doors
 
     def open(self, life: LiveLife) -> None:
--- a/lemonway/kit/live/part.py
+++ b/lemonway/kit/live/part.py
@@ -2,8 +2,8 @@
 lines on standard input, says what it has to say on standard output, and ends when its input does. The roles are in
 modules of their own; here is what all share: the loop, the watch over oneself, the end.
 
-Orders: ``prepare`` (addresses of others), ``begin`` (when the day does), ``finish``. Words back: ``ready`` (addresses of
-its own), ``up``, ``progress``, ``void`` (it fell behind), ``over``, ``result``, ``fault`` (it can't go on)."""
+Orders: ``prepare`` (addresses of others), ``begin`` (when the day does), ``finish``. Words back: ``ready`` (addresses
+of its own), ``up``, ``progress``, ``void`` (it fell behind), ``over``, ``result``, ``fault`` (it can't go on)."""
 
 from __future__ import annotations
 
@@ -88,7 +88,6 @@
         self.result({})
 
     def result(self, data: dict[str, Any]) -> None:
-        self.watch_second()
         self.say(result={
             **data, "rows": [row.data() for row in self.rows], "lag_hdr": self.watch.whole.encode().decode()})
 
--- a/lemonway/kit/live/placement.py
+++ b/lemonway/kit/live/placement.py
@@ -1,5 +1,5 @@
-"""Which cores and addresses the processes of a rehearsal get, and how large a day may be on a machine. Pure; it must not
-know how anything is started."""
+"""Which cores and addresses the processes of a rehearsal get, and how large a day may be on a machine. Pure; it must
+not know how anything is started."""
 
 from __future__ import annotations
 
--- a/lemonway/kit/live/reconcile.py
+++ b/lemonway/kit/live/reconcile.py
@@ -35,13 +35,15 @@
 
 def differences(node: str, seen: Counter[str], said: Mapping[str, int], causes: Collection[str]) -> list[str]:
     """Each thing that the node counted otherwise than it was seen, in words. ``causes`` are what was done to it and may
-    explain a difference: ``spoilt`` (bad replies to its calls), ``moved`` (its links broke, so that commands and notices
-    were lost or said again), ``reset`` (a connection of its routers ended under requests), ``paused``."""
+    explain a difference: ``spoilt`` (bad replies to its calls), ``moved`` (its links broke, so that commands and
+    notices were lost or said again), ``reset`` (a connection of its routers ended under requests), ``paused``."""
     out = []
     for what, names in SEEN.items():
         if (what == "runs" and "moved" in causes) or (what in ("served", "refused", "failed") and "reset" in causes):
             continue
         counted = sum(said.get(name, 0) for name in names)
+        if what in ("requests", "checks") and "reset" in causes and counted <= seen[what]:
+            continue  # what was written just before a reset may never have been read
         if counted != seen[what]:
             out.append(f"{node}: {what}: {seen[what]} seen, {counted} counted ({' + '.join(names)})")
     if "moved" not in causes:
--- a/lemonway/kit/live/routers.py
+++ b/lemonway/kit/live/routers.py
@@ -29,7 +29,7 @@
 
     _side: RouterSide | None = None
 
-    @property  # type: ignore[override]
+    @property
     def side(self) -> RouterSide | None:
         return self._side
 
--- a/lemonway/kit/live/supervisor.py
+++ b/lemonway/kit/live/supervisor.py
@@ -224,7 +224,7 @@
     async def _wait(self, event: asyncio.Event, patience: float, whom: str) -> None:
         try:
             await asyncio.wait_for(event.wait(), patience)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             raise KitError(f"waited {patience:.0f} s in vain for {whom}") from None
         if self.fault is not None:
             raise KitError(self.fault)
--- a/lemonway/kit/live/watch.py
+++ b/lemonway/kit/live/watch.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
-from pydantic import Field
+from pydantic import Field, ValidationError
 
 from ..emulator.scenario import Model
 
@@ -21,8 +23,8 @@
 
 
 class Bounds(Model):
-    """What a part or a node may be late by before the rehearsal is void; every figure of one second. ``deploy/live.json``
-    holds them, ``deploy/schema/live.schema.json`` is their schema."""
+    """What a part or a node may be late by before the rehearsal is void; every figure of one second.
+    ``deploy/live.json`` holds them, ``deploy/schema/live.schema.json`` is their schema."""
 
     lag_ms: float = Field(150.0, gt=0, description="the latest event against its schedule")
     lag_p99_ms: float = Field(40.0, gt=0, description="the 99th in 100 of the events against their schedule")
@@ -34,6 +36,37 @@
     reach_rate: float = Field(40.0, gt=0, description="requests a second and core of this machine, without --force")
 
 
+class BoundsError(Exception):
+    """A file of bounds that makes no sense; one line that names file and key."""
+
+
+def load_bounds(path: str | None) -> Bounds:
+    """Of a file, or the defaults."""
+    if path is None:
+        return Bounds()
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise BoundsError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise BoundsError(f"{path}: not JSON: {error}") from None
+    if isinstance(raw, dict):
+        raw = {key: value for key, value in raw.items() if key != "$schema"}
+    try:
+        return Bounds.model_validate(raw, strict=True)
+    except ValidationError as error:
+        first = error.errors()[0]
+        raise BoundsError(f"{path}: {'.'.join(map(str, first['loc'])) or 'the file'}: {first['msg']}") from None
+
+
+def schema() -> dict[str, Any]:
+    """The published JSON Schema of such a file."""
+    made = Bounds.model_json_schema()
+    properties = {"$schema": {"type": "string"}, **made["properties"]}
+    return {**made, "$schema": "https://json-schema.org/draft/2020-12/schema", "title": "lemonway live bounds",
+            "properties": properties}
+
+
 @dataclass
 class Row:
     """One second of a part, or of a node. ``second`` counts from the beginning of the day and may be below 0."""
@@ -114,8 +147,9 @@
         used, now = self.usage(), time.monotonic()
         span = max(1e-3, now - self._at)
         count = int(self._second.get_total_count())
-        row = Row(self.who, second, self._most / 1000, self._second.get_value_at_percentile(99) / 1000 if count else 0.0,
-                  count, (used.cpu - self._before.cpu) / span, (used.wait - self._before.wait) / span, self._blocked)
+        p99 = self._second.get_value_at_percentile(99) / 1000 if count else 0.0
+        row = Row(self.who, second, self._most / 1000, p99, count,
+                  (used.cpu - self._before.cpu) / span, (used.wait - self._before.wait) / span, self._blocked)
         self.whole.add(self._second)
         self.begin()
         return row
