--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -166,8 +166,8 @@
     def exited(self, how: str) -> None:
         """Its process is gone; what it has printed has been read."""
         self.gone = True
-        if not self.dead and self.leaving and how == "exit code 0":
-            self.die("left")
+        if not self.dead and self.leaving and (how == "exit code 0" or self.begun_after < 0):
+            self.die("left")  # the notice to leave may come before there is anybody to take it
         elif not self.dead:
             last = self.process.lines[-1] if self.process.lines else "without a word"
             if not self.host.begun or self.begun_after < 0:
