--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -140,8 +140,8 @@
         self._write_config()
         limits = {"parent": os.getpid(), "files": SOCKETS, "memory_mb": MEMORY_MB, "cpus": host.node_cpus}
         args = [sys.executable, str(LAUNCH), json.dumps(limits), sys.executable, "-m", "lemonway"]
-        env = {"EDGE_CONFIG": str(self.file), "PATH": os.environ.get("PATH", ""), "PYTHONPATH": str(ROOT),
-               "TMPDIR": str(folder), "PYTHONDONTWRITEBYTECODE": "1"}
+        env = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")} | {
+            "EDGE_CONFIG": str(self.file), "PYTHONPATH": str(ROOT), "TMPDIR": str(folder)}
         self.started = self.loop.now
         self.transport = host.reactor.spawnProcess(self.process, args[0], args, env, path=None)
 
--- a/lemonway/kit/live/machines.py
+++ b/lemonway/kit/live/machines.py
@@ -21,6 +21,7 @@
 
 SLACK = 50_000  # microseconds by which each time limit is longer on sockets (PROTOCOL, the rules on sockets)
 NODE_PORT = 8443
+STARTING = 2_000_000  # microseconds in which a new process may wait for a core: its start is told by itself
 UP_WAIT = 30_000_000  # microseconds in which all nodes must have come up (DEPLOY)
 QUIET_WAIT = 8_000_000  # after the day, until nothing is in hand any more
 SAID_WAIT = 3_000_000  # for the nodes' counters
@@ -157,7 +158,7 @@
             self.world.log = open(job["log"], "a", encoding="utf-8")  # noqa: SIM115 - open as long as the process
         self.asking: set[str] = set()
         self.used: dict[int, Usage] = {}
-        self._up = self._told = False
+        self._up = self._told = self._cut = False
         self._quiet_by = 0
 
     def ready(self) -> None:
@@ -208,7 +209,7 @@
             before = self.used.get(pid, Usage())
             rows.append(Row(
                 life.name, second, cpu=used.cpu - before.cpu, wait=used.wait - before.wait, blocked_ms=life.blocked_ms,
-                node=True, waived=self.loop.now < life.waived_until))
+                node=True, waived=self.loop.now < max(life.waived_until, life.started + STARTING)))
             self.used[pid], life.blocked_ms = used, 0.0
         return rows
 
@@ -216,7 +217,8 @@
 
     def finish(self, order: dict[str, Any]) -> None:
         self.loop.catch_up()
-        self._quiet_by = self.loop.now + (QUIET_WAIT if not order.get("void") else 0)
+        self._cut = bool(order.get("void"))
+        self._quiet_by = self.loop.now + (0 if self._cut else QUIET_WAIT)
         self._wait_quiet()
 
     def _wait_quiet(self) -> None:
@@ -249,7 +251,8 @@
         result = {
             "breaches": [{"rule": b.rule, "lines": b.lines(at)} for b in audit.breaches],
             "checked": audit.checked, "counters": dict(world.lost_counters[0]), "total": vars(world.totals[0]),
-            "faults": world.faults, "reconciled": world.reconciled, "unreadable": world.unreadable,
+            "faults": [] if self._cut else world.faults,  # a day that was cut off left things on their way
+            "reconciled": world.reconciled, "unreadable": world.unreadable,
             "happened": [[h.at - self.shift, h.what] for h in world.keeper.happened],
             "keeper": dict(world.keeper.counters), "starts_ms": [us // 1000 for us in world.starts],
             "crowd": max(world.machines[n].most_crowd for n in names),
--- a/lemonway/kit/live/report.py
+++ b/lemonway/kit/live/report.py
@@ -19,12 +19,12 @@
 
 def figures(outcome: Outcome, bounds: Bounds) -> dict[str, Any]:
     """As ``emulator.report.figures``, with ``verdict`` (kept, broken or void), ``void`` and ``live``. A node that
-    counted otherwise than it was seen breaks the day like a rule."""
+    counted otherwise than it was seen breaks the day like a rule; a void day is not broken, whatever was seen in it."""
     data = report.figures(outcome.result)
     data["rules"]["counters"] = len(outcome.faults)
     data["breaches"] += [[fault] for fault in outcome.faults[:SHOWN]]
     broken = sum(data["rules"].values())
-    data["verdict"] = "broken" if broken else "void" if outcome.void else "kept"
+    data["verdict"] = "void" if outcome.void else "broken" if broken else "kept"
     data["void"] = outcome.void
     if outcome.void or broken:
         data["service"]["figure"] = None
@@ -65,10 +65,12 @@
         console.print("[bold red]void[/bold red]: what plays the day fell behind, so nothing is said of the service")
         for row in data["void"][:SHOWN]:
             console.print(f"  from second {row['second']}: {row['why']}", markup=False)
+        for lines in data["breaches"]:
+            console.print("\n".join(["meanwhile, of no weight:", *lines]), markup=False, highlight=False)
     else:
         report.render(data, console)
     live = data["live"]
-    table = Table("process", "events", "behind: p50 ms", "p99", "p99.9", "most", "CPU: mean", "most", "wait: most")
+    table = Table("process", "events", "late p50", "p99", "p99.9", "most ms", "CPU", "most", "wait")
     for row in live["watched"]:
         lag = row["lag_ms"]
         table.add_row(row["who"], str(row["events"] or "-"), *(f"{lag[q]:.2f}" if lag else "-" for q in lag or "123"),
--- a/lemonway/kit/live/supervisor.py
+++ b/lemonway/kit/live/supervisor.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import sys
@@ -28,6 +29,8 @@
 from .placement import network, place, too_large
 from .watch import Bounds
 
+log = logging.getLogger(__name__)
+
 ROOT = Path(__file__).parents[3]
 LAUNCH = Path(__file__).with_name("launch.py")
 START_WAIT = 60.0  # seconds in which all parts and nodes must have come up
@@ -123,6 +126,7 @@
         self.parts = {role: PartProcess(role) for role in ROLES}
         self.void: list[dict[str, Any]] = []
         self.over = asyncio.Event()
+        self.begun = False
         self.fault: str | None = None
         self._heard: dict[str, asyncio.Event] = {}
         self._ready: dict[str, Any] = {}
@@ -155,6 +159,7 @@
             part.order(job)
             self._tasks += [asyncio.create_task(self._follow(part)), asyncio.create_task(part.read_errors())]
         ready = await self._all("ready", START_WAIT)
+        log.info("all stand-ins are ready at %s", job["host"])
         announce, acervo = ready["announce"], ready["acervo"]
         self.parts["acervo"].order({"do": "prepare"})
         self.parts["announce"].order({"do": "prepare"})
@@ -163,11 +168,14 @@
         self.parts["routers"].order(
             {"do": "prepare", "doors": ready["machines"]["doors"], "feed": announce["feed"]})
         await self._all("up", START_WAIT)
+        log.info("%d nodes are up", self.scenario.fleet.nodes)
         at = START + time.monotonic_ns() // 1000 - zero + int(LEAD * 1e6)
         for part in self.parts.values():
             part.order({"do": "begin", "at": at})
+        log.info("the day begins in %.1f s and lasts %g s", LEAD, self.scenario.seconds)
         last = self.scenario.seconds + (max(self.world.deadlines) + TAIL) / 1e6
         await self._wait(self.over, last + END_WAIT, "the day to be over")
+        log.info("the day is over" if not self.void else "the day is void")
         for role in ("routers", "machines", "acervo", "announce"):
             self.parts[role].order({"do": "finish", "void": bool(self.void)})
             await self._one(role, "result", END_WAIT)
@@ -193,6 +201,9 @@
                 self.void.append(value)
                 self.over.set()
             elif what == "progress":
+                if not self.begun:
+                    self.begun = True
+                    log.info("the day has begun")
                 self.progress(value)
             elif what == "over":
                 self.over.set()
--- a/lemonway/kit/live/watch.py
+++ b/lemonway/kit/live/watch.py
@@ -130,9 +130,9 @@
     _at: float = 0.0
     _blocked: float = 0.0
 
-    def begin(self) -> None:
+    def begin(self, used: Usage | None = None) -> None:
         """What came before does not count."""
-        self._before, self._at, self._most, self._blocked = self.usage(), time.monotonic(), 0, 0.0
+        self._before, self._at, self._most, self._blocked = used or self.usage(), time.monotonic(), 0, 0.0
         self._second.reset()
 
     def late(self, us: int) -> None:
@@ -151,7 +151,7 @@
         row = Row(self.who, second, self._most / 1000, p99, count,
                   (used.cpu - self._before.cpu) / span, (used.wait - self._before.wait) / span, self._blocked)
         self.whole.add(self._second)
-        self.begin()
+        self.begin(used)
         return row
 
 
