--- a/lemonway/kit/experiment/plan.py
+++ b/lemonway/kit/experiment/plan.py
@@ -33,7 +33,7 @@
     scenarios: list[str] = Field(min_length=1)
     first_seed: int = Field(1, ge=0)
     seeds: int = Field(20, ge=1, le=1000)
-    fidelity: Literal["core", "wire"] = "core"
+    fidelity: Literal["core", "wire", "live"] = "core"
     grid: dict[str, Row] = {}
     code: dict[str, str] = Field({}, description="a name and the path of a checkout; absent: this one")
 
@@ -49,7 +49,7 @@
     raw: str  # the whole scenario, as JSON
     tunables: tuple[tuple[str, float], ...]
     code: str  # the path of a checkout, "" = this one
-    wire: bool
+    fidelity: str
 
 
 def load(path: str) -> Plan:
@@ -69,6 +69,9 @@
             known = getattr(brain, name, None)
             if not name.isupper() or not isinstance(known, int | float):
                 raise ScenarioError(f"{path}: grid.{key}: the brain has no tuned value of that name")
+            if plan.fidelity == "live":
+                raise ScenarioError(f"{path}: grid.{key}: a live node has the tuned values of its code; name checkouts "
+                                    "under [code]")
             if not all(isinstance(v, int | float) and not isinstance(v, bool) for v in values):
                 raise ScenarioError(f"{path}: grid.{key}: wants numbers")
     for name, place in plan.code.items():
@@ -102,17 +105,18 @@
 
 
 @lru_cache
-def code_digest(root: str) -> str:
+def code_digest(root: str, fidelity: str) -> str:
     """Of every source file that can change a result, as it was when this process first asked."""
-    return digest_now(root)
+    return digest_now(root, fidelity)
 
 
-def digest_now(root: str) -> str:
+def digest_now(root: str, fidelity: str) -> str:
+    passed_over = {"experiment"} if fidelity == "live" else {"experiment", "live"}
     digest = blake2b(digest_size=12)
     folder = Path(root) / "lemonway" if root else Path(brain.__file__).parent
     for path in sorted(folder.rglob("*.py")):
         inner = path.relative_to(folder)
-        if not {"experiment", "live"} & set(inner.parts) and inner.name != "cli.py":
+        if not passed_over & set(inner.parts) and inner.name != "cli.py":
             digest.update(str(inner).encode() + b"\0" + path.read_bytes() + b"\0")
     return digest.hexdigest()
 
@@ -144,6 +148,6 @@
                     f"{key.rpartition('.')[2]} {value:g}" if isinstance(value, float) else f"{key} {value}"
                     for key, value in zip(keys, values, strict=True)]) or "as shipped"
                 for seed in range(plan.first_seed, plan.first_seed + plan.seeds):
-                    parts = [text, sorted(tunables), code_digest(root), seed, plan.fidelity]
+                    parts = [text, sorted(tunables), code_digest(root, plan.fidelity), seed, plan.fidelity]
                     digest = blake2b(json.dumps(parts).encode(), digest_size=16).hexdigest()
-                    yield Run(name, arm, seed, digest, text, tuple(tunables), root, plan.fidelity == "wire")
+                    yield Run(name, arm, seed, digest, text, tuple(tunables), root, plan.fidelity)
--- a/lemonway/kit/experiment/runner.py
+++ b/lemonway/kit/experiment/runner.py
@@ -16,6 +16,7 @@
 from .store import Store
 
 TIMEOUT = 1800  # seconds for one run
+VOID_TRIES = 3
 
 
 class RunError(Exception):
@@ -23,7 +24,7 @@
 
 
 def play_run(run: Run) -> dict[str, Any]:
-    job = json.dumps({"raw": run.raw, "seed": run.seed, "tunables": run.tunables, "wire": run.wire})
+    job = json.dumps({"raw": run.raw, "seed": run.seed, "tunables": run.tunables, "fidelity": run.fidelity})
     root = run.code or str(Path(brain.__file__).parent.parent)
     worker = Path(__file__).with_name("worker.py").read_text(encoding="utf-8")
     try:
@@ -34,20 +35,32 @@
     if done.returncode:
         last = (done.stderr.strip().splitlines() or ["no word"])[-1]
         raise RunError(f"{run.scenario}, {run.arm}, seed {run.seed}: {last}")
-    if digest_now(run.code) != code_digest(run.code):
+    if digest_now(run.code, run.fidelity) != code_digest(run.code, run.fidelity):
         # Guards against a result that is kept under the name of code that did not make it.
         raise RunError(f"the code of {root} changed while the experiment ran: start it again")
     figures: dict[str, Any] = json.loads(done.stdout)
     return figures
 
 
+def play_again(run: Run) -> dict[str, Any]:
+    """A live day that was void says nothing and is played again."""
+    for _ in range(VOID_TRIES):
+        figures = play_run(run)
+        if not figures.get("void"):
+            return figures
+    why = "; ".join(f"second {row['second']}: {row['why']}" for row in figures["void"][:3])
+    raise RunError(f"{run.scenario}, {run.arm}, seed {run.seed}: void {VOID_TRIES} times, {why}")
+
+
 def play_missing(
     runs: Sequence[Run], store: Store, jobs: int, progress: Callable[[float], None] = lambda share: None,
 ) -> int:
     """Gives how many were played."""
     missing = store.missing(runs)
+    if any(run.fidelity == "live" for run in missing):
+        jobs = 1  # two live days on one machine would each be a load on the other
     with ThreadPoolExecutor(jobs) as pool:
-        waiting = {pool.submit(play_run, run): run for run in missing}
+        waiting = {pool.submit(play_again, run): run for run in missing}
         try:
             for number, future in enumerate(as_completed(waiting), 1):
                 store.add(waiting[future], future.result())
--- a/lemonway/kit/experiment/store.py
+++ b/lemonway/kit/experiment/store.py
@@ -55,7 +55,7 @@
         try:
             with self._db:
                 self._db.execute("insert or ignore into runs values (?, ?, ?, ?, ?, ?, ?, ?, ?)", (
-                    run.digest, run.scenario, run.arm, run.seed, code_digest(run.code), versions,
+                    run.digest, run.scenario, run.arm, run.seed, code_digest(run.code, run.fidelity), versions,
                     sum(figures["rules"].values()), figures["service"]["figure"], blob))
         except sqlite3.Error as error:
             raise StoreError(f"{self.path}: {error}") from None
--- a/lemonway/kit/experiment/worker.py
+++ b/lemonway/kit/experiment/worker.py
@@ -15,8 +15,16 @@
     job = json.load(sys.stdin)
     for name, value in job["tunables"]:
         setattr(brain, name, value)
-    result = play(scenario.check(json.loads(job["raw"]), "run"), job["seed"], wire=job["wire"])
-    json.dump(report.figures(result), sys.stdout, sort_keys=True)
+    plan = scenario.check(json.loads(job["raw"]), "run")
+    if job["fidelity"] == "live":
+        from lemonway.kit.live import report as live_report
+        from lemonway.kit.live.supervisor import play_live
+        from lemonway.kit.live.watch import Bounds
+
+        figures = live_report.figures(play_live(plan, job["seed"], Bounds()), Bounds())
+    else:
+        figures = report.figures(play(plan, job["seed"], wire=job["fidelity"] == "wire"))
+    json.dump(figures, sys.stdout, sort_keys=True)
 
 
 if __name__ == "__main__":
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -23,12 +23,18 @@
 from lemonway.kit import cli
 from lemonway.kit.emulator.scenario import ScenarioError
 from lemonway.kit.experiment import compare, plan, report
-from lemonway.kit.experiment.runner import RunError, play_missing, play_run
+from lemonway.kit.experiment.runner import RunError, play_again, play_missing, play_run
 from lemonway.kit.experiment.store import Store, StoreError
 
 DAY = 'title = "tiny"\nseconds = 2\n[fleet]\nnodes = 2\n[acervo]\nnodes = 1\n[routers]\ncount = 1\n'
 
 
+def void(times: int) -> Any:
+    """A player whose first days are void."""
+    left = iter([{"void": [{"second": 3, "why": "routers fell behind"}]}] * times + [{"void": [], "it": 1}])
+    return mock.patch("lemonway.kit.experiment.runner.play_run", lambda run: next(left))
+
+
 class Folder(unittest.TestCase):
     def setUp(self) -> None:
         self.holder = tempfile.TemporaryDirectory()
@@ -49,6 +55,17 @@
         return plan.runs(plan.load(path), path)
 
 
+class Void(Folder):
+    def test_a_void_day_is_played_again_and_never_kept(self) -> None:
+        run = self.runs('fidelity = "live"\n')[0]
+        for times in (0, 1, 2):
+            with void(times):
+                self.assertEqual(play_again(run), {"void": [], "it": 1})
+        with void(3), self.assertRaises(RunError) as caught:
+            play_again(run)
+        self.assertIn("void 3 times, second 3: routers fell behind", str(caught.exception))
+
+
 class Plans(Folder):
     def test_a_grid_is_every_combination_and_each_run_has_a_name_of_its_own(self) -> None:
         runs = self.runs('[grid]\n"tunable.BOUND" = [0.5, 1.0]\n"traffic.load" = [0.3, 0.6, 0.9]\n', seeds=3)
@@ -69,9 +86,17 @@
             raw = json.loads(self.runs(f'[grid]\n"{key}" = [0.7]\n')[0].raw)
             self.assertEqual([row["heeds"] for row in raw["routers"]["habits"]], want)
 
+    def test_a_live_run_is_named_by_the_code_that_drives_it_too(self) -> None:
+        core, live = self.runs()[0], self.runs('fidelity = "live"\n')[0]
+        self.assertNotEqual(core.digest, live.digest)
+        self.assertNotEqual(plan.code_digest("", "core"), plan.code_digest("", "live"))
+        self.assertEqual(plan.code_digest("", "core"), plan.code_digest("", "wire"))
+
     def test_what_is_wrong_is_named_in_one_line(self) -> None:
         for more, words in [
-            ("seed = 3\n", "seed: Extra"), ('[grid]\n"tunable.FISH" = [1.0]\n', "grid.tunable.FISH: the brain has no"),
+            ("seed = 3\n", "seed: Extra"),
+            ('fidelity = "live"\n[grid]\n"tunable.BOUND" = [1.0]\n', "grid.tunable.BOUND: a live node"),
+            ('[grid]\n"tunable.FISH" = [1.0]\n', "grid.tunable.FISH: the brain has no"),
             ('[grid]\n"tunable.BOUND" = ["x"]\n', "grid.tunable.BOUND: wants numbers"),
             ('[grid]\n"traffic.lode" = [1.0]\n', "grid.traffic.lode: no such key"),
             ('[grid]\n"routers.habits.9.heeds" = [1.0]\n', "habits.9 is no row"),
