--- a/lemonway/kit/emulator/wire/pipes.py
+++ b/lemonway/kit/emulator/wire/pipes.py
@@ -81,6 +81,10 @@
             self.disconnecting = True
             self.loop.at(max(self.loop.now + self.plumbing.manners.delay, self._free_at), self._closed)
 
+    def loseWriteConnection(self) -> None:
+        """The peers that are played here have no use for a half of a connection: they close theirs at once."""
+        self.loseConnection()
+
     def _closed(self) -> None:
         if self.connected:
             self._end(DONE)
