--- a/lemonway/kit/live/machines.py
+++ b/lemonway/kit/live/machines.py
@@ -20,7 +20,7 @@
 from .watch import Row, Usage, usage_of
 
 SLACK = 50_000  # microseconds by which each time limit is longer on sockets (PROTOCOL, the rules on sockets)
-NODE_PORT = 8443
+NODE_PORT, DOOR_PORT = 8443, 8442
 STARTING = 2_000_000  # microseconds in which a new process may wait for a core: its start is told by itself
 UP_WAIT = 30_000_000  # microseconds in which all nodes must have come up (DEPLOY)
 QUIET_WAIT = 8_000_000  # after the day, until nothing is in hand any more
@@ -55,11 +55,7 @@
         self.pools = {name: PoolPorts(self, name) for name in self.tiers[0]}
         self.pool_ports = {name: Port(part, self.pools[name]) for name in self.tiers[0]}
         self.moves = dict.fromkeys(self.tiers[0], 0)  # which of two addresses its peers have
-        doors = {name: part.listen(Door(self, name)) for name in self.tiers[0]}
-        self.door_numbers = {name: port.getHost().port for name, port in doors.items()}
-        self.doors: dict[str, Any] = dict(doors)
-        for name in self.tiers[0]:
-            self._close_door(name)
+        self.doors: dict[str, Any] = dict.fromkeys(self.tiers[0])  # the listening ports of those that are open
         self.faults: list[str] = []  # what the nodes counted otherwise
         self.reconciled = self.unreadable = 0
         self.starts: list[int] = []  # microseconds that processes took to come up
@@ -73,8 +69,8 @@
     # addresses
 
     def address(self, name: str) -> tuple[str, int]:
-        """Where a node listens: each has a loopback address to itself, so that no other socket of the system can take
-        its port while it is down."""
+        """Where a node listens: each has a loopback address to itself, for its door as well, so that no other socket of
+        the system can take a port while it is closed."""
         number = self.tiers[0].index(name) + 1
         first = self.part.host.rsplit(".", 1)[0]
         head, third = first.rsplit(".", 1)
@@ -94,7 +90,8 @@
         """It is up: let routers in."""
         self.starts.append(life.begun_after)
         if not life.dead and self.doors[life.name] is None:
-            self.doors[life.name] = self.part.listen(Door(self, life.name), port=self.door_numbers[life.name])
+            host, _ = self.address(life.name)
+            self.doors[life.name] = self.part.listen(Door(self, life.name), host, DOOR_PORT)
         self.part.came_up()
 
     def close(self, life: LiveLife) -> None:
@@ -162,7 +159,7 @@
         self._quiet_by = 0
 
     def ready(self) -> None:
-        self.say(ready={"doors": {name: [self.host, number] for name, number in self.world.door_numbers.items()}})
+        self.say(ready={"doors": {name: [self.world.address(name)[0], DOOR_PORT] for name in self.world.tiers[0]}})
 
     def prepare(self, order: dict[str, Any]) -> None:
         self.world.reports, self.world.catalogues = order["reports"], order["catalogue"]
