Let half a frame that is given up be read as far as it goes, so that its tag gets its word

Cause: since frames are read in one go, half a frame waits in the ring unread; when it was given up after 1.5 s its tag was not known and it got a close without the failure word that it had got before. A test of bad clients found it.

--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -401,6 +401,8 @@
         elif self.half_since:
             if self.half_since < now - HALF_MOST:
                 self.desk.counters["half_frames"] += 1
+                self._enough = 0
+                self.pump()  # line by line, as far as it goes: its tag may be there, and is owed a word
                 self.refuse_more()
         elif not self.open and not self.checks and self.used < (now - FIRST_WAIT if self.fresh else edge):
             self.desk.counters["closed_idle"] += 1
