--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -125,7 +125,6 @@
             self.causes.add("spoilt")
         self.process = NodeProcess(self)
         self.transport: Any = None
-        self.gone = False
         self.started = 0
         self.begun_after = -1  # microseconds from its start to its first link
 
@@ -165,7 +164,6 @@
 
     def exited(self, how: str) -> None:
         """Its process is gone; what it has printed has been read."""
-        self.gone = True
         if not self.dead and self.leaving and (how == "exit code 0" or self.begun_after < 0):
             self.die("left")  # the notice to leave may come before there is anybody to take it
         elif not self.dead:
--- a/lemonway/kit/live/machines.py
+++ b/lemonway/kit/live/machines.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
 from pathlib import Path
 from typing import IO, Any
 
@@ -223,10 +222,7 @@
         if busy and self.loop.now < self._quiet_by:
             self.loop.after(50_000, self._wait_quiet)
             return
-        self._later(100_000, self._ask)  # what was said last is on its way
-
-    def _later(self, delay: int, call: Callable[[], None]) -> None:
-        self.loop.after(delay, call)
+        self.loop.after(100_000, self._ask)  # what was said last is on its way
 
     def _ask(self) -> None:
         lives = [life for life in self.world.lives() if not life.leaving]
--- a/lemonway/kit/live/routers.py
+++ b/lemonway/kit/live/routers.py
@@ -133,10 +133,6 @@
         self.part.loop.after(self.part.world.delays[router.number], self.link(router, name).check, tag, False)
 
 
-class RoutersWorld(World):
-    """Its fleet is the whole day's; only the routers of the first tier live here."""
-
-
 class ListWatch(Protocol):
     """The list of nodes, from the announce service."""
 
@@ -172,7 +168,7 @@
 
     def __init__(self, job: dict[str, Any], reactor: Any, control: Control) -> None:
         super().__init__(job, reactor, control)
-        self.world = RoutersWorld(self.scenario, self.seed, loop=self.loop)
+        self.world = World(self.scenario, self.seed, loop=self.loop)
         self.service: AnnounceService = self.world.services[0]
         self.service.up = False  # its entries are set by what the list says
         self.requests = self.world.requests()
