--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -4,11 +4,14 @@
 
 from collections import deque
 from collections.abc import Callable
-from heapq import heapify, heapreplace
+from heapq import heapreplace
+from operator import attrgetter
 from typing import Any
 
 from . import interface as api
 from .interface import Action, Arrival, Effect, Halt, Outcome
+from .state.expiring import Expiring
+from .state.inhand import InHand, Job
 
 SAMPLE = 50.0  # ms between sweeps while work is in hand: well inside any answer grace, cheap in CPU
 CPU_HIGH = 0.95  # share of the cores busy from which they count as full (the gauge is a half-second mean)
@@ -26,6 +29,7 @@
 STUCK = 3.0  # a run older than so many times its expected time tells that the server has slowed
 ELSEWHERE = 0.3  # share of arrivals tried before (or refused) from which others are taken to be full too
 AGED = 0.03  # steps, as a share of a class's deadline, in which waits are told apart
+FORGOTTEN = 1000000.0  # weight of the newest arrival, of the first one, from which all are scaled down
 USUAL = 0.2  # share of the arrivals from which a wait is a usual one: callers have a few habits
 MARGIN = 1.5  # a held request's run time is stretched so where no hint tells it: half of all take longer
 LAG = 0.15  # share of the shortest aim that requests lie unread from which reading itself is drowned
@@ -34,23 +38,7 @@
 CALL_LOST = 2.0  # times the longest of late (FORGET_MIX a call) from which a call is taken to be lost
 CALL_PART = 0.5  # share of an aim that a call for a request of the tier above may take
 RATE_SPAN = 5000.0  # ms over which the rate of arrivals is learned: a few dozen even at a few a second
-
-
-class Job:
-    """A request in hand, from its reading to its end."""
-
-    __slots__ = ("id", "lane", "kind", "tenant", "came", "due", "aim", "base", "kb", "retry", "state",
-                 "since", "spent", "answered", "keyed", "hinted", "ran", "rate", "pausing", "recall",
-                 "spacing", "waited", "left", "called")
-
-    def __init__(self, e: Arrival, kind: api.Lane, came: float, due: float, aim: float, base: float) -> None:
-        self.id, self.lane, self.kind, self.tenant, self.retry = e.id, e.lane, kind, e.tenant, e.retry
-        self.came, self.due, self.aim, self.base, self.kb = came, due, aim, base, e.size_kb
-        self.state = "held"  # held, running, paused, stalled (wants a call), calling, replaying
-        self.since = self.spent = self.rate = self.recall = self.spacing = self.waited = 0.0
-        self.left, self.called = 0.0, 0  # when it came to its last call, and how many it has had
-        self.answered = self.ran = self.pausing = False
-        self.keyed, self.hinted = kind.effect is Effect.KEYED, e.work is not None
+AGES, RATES = attrgetter("came", "id"), attrgetter("rate")
 
 
 class Policy:
@@ -58,7 +46,7 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         s = self.s = settings
-        self.now, self.begun, self.out, self.jobs = 0.0, -1.0, list[Action](), dict[int, Job]()
+        self.now, self.begun, self.out, self.jobs = 0.0, -1.0, list[Action](), InHand(s.run_factor)
         self.part = CALL_PART if s.tier > 0 else 1.0
         self.aim = min(lane.aim for lane in s.lanes) * self.part
         self.on: dict[type, Callable[[Any], None]] = {
@@ -71,16 +59,18 @@
         self.call_time = 0.0  # from its coming to a call until the reply
         self.gap = self.cpu = self.lag = 0.0
         self.last_end = -1.0
-        self.usual = [0.0] * (int(1.0 / AGED) + 3)  # share of arrivals by wait, in steps of AGED
+        self.usual = [0.0] * (int(1.0 / AGED) + 3)  # arrivals by wait, in steps of AGED
+        self.usual_all, self.newest = 0.0, 1.0
         self.tried = self.refused = 0.0
         self.asked, self.served = [lane.worth for lane in s.lanes], [lane.worth for lane in s.lanes]
         self.team_rate, self.team_at = [0.0] * len(s.tenants), [0.0] * len(s.tenants)
         self.promises, self.waits = deque[float](), deque[tuple[float, float]]()
+        self.least_wait = 0.0  # in the hold, over the window
         self.cap = float(s.cores)
         self.told = self.kept = self.storm = -1.0
         self.rate, self.rate_at = 0.0, 0.0  # arrivals a millisecond
-        self.ran_keys: dict[int, float] = {}  # id of a try that ran: until when it matters
-        self.entries: dict[int, float] = {}  # id with an entry in the table: until when
+        self.ran_keys = Expiring()  # ids of tries that ran, until they no longer matter
+        self.entries = Expiring()  # ids with an entry in the table
         self.heirs: dict[int, int] = {}  # id of a held try: the newer one that took its place
         self.calls_mean, self.calls_at, self.lingering = 0.0, 0.0, deque[float]()
         self.call_most = 0.0  # the longest time of late that a call took to come back
@@ -100,9 +90,12 @@
 
     def slowness(self) -> float:
         """Run time over expected work; runs that overstay count before they end (slow, hung)."""
-        runs = [j for j in self.jobs.values() if j.state == "running" and not j.answered]
-        spent = sum(self.elapsed(j) for j in runs)
-        return max(self.slow, spent / sum(j.base for j in runs) / STUCK if runs else 0.0)
+        spent = work = 0.0
+        for j in self.jobs.running.values():
+            if not j.answered:
+                spent += j.spent + self.now - j.since
+                work += j.base
+        return max(self.slow, spent / work / STUCK if work else 0.0)
 
     def elapsed(self, j: Job) -> float:
         return j.spent + (self.now - j.since if j.state == "running" else 0.0)
@@ -112,7 +105,7 @@
         self.slow += LEARN * (took / j.base - self.slow)
         # Unhinted, the mean follows run times and `slow` returns to 1: others' bad luck starves no class.
         self.mean[j.lane] += LEARN / 4 * ((j.base if j.hinted else took) - self.mean[j.lane])
-        if self.last_end >= 0 and self.running() + 1 >= self.cap:
+        if self.last_end >= 0 and self.jobs.begun + 1 >= self.cap:
             gap = self.now - self.last_end
             self.gap = gap if self.gap == 0 else self.gap + LEARN * (gap - self.gap)
         elif self.gap == 0:
@@ -120,21 +113,28 @@
         self.last_end = self.now
 
     def rest(self, j: Job) -> float:
-        return max(j.base * self.slow - self.elapsed(j), (1.0 - OVERSTAY) * j.base * self.slow)
-
-    def score_rate(self, j: Job) -> float:
+        takes = j.base * self.slow
+        return max(takes - self.elapsed(j), (1.0 - OVERSTAY) * takes)
+
+    def weights(self) -> list[float]:
+        """What worth in each class adds to the stated mix; the class served worst adds more."""
+        s, lanes = self.s, range(len(self.s.lanes))
+        each = [(s.weight_whole + s.weight_window) / sum(self.asked) for _ in lanes]
+        worst = min(lanes, key=lambda n: self.served[n] / self.asked[n])
+        each[worst] += s.weight_class / self.asked[worst]
+        return each
+
+    def score_rate(self, j: Job, weights: list[float]) -> float:
         """What a millisecond of core time on this request adds to the stated mix of worth."""
-        s, late = self.s, self.now + self.rest(j) > j.aim
+        s, rest = self.s, self.rest(j)
+        late = self.now + rest > j.aim
         size = j.base / self.mean[j.lane] if s.worth_by_work else 1.0
         worth = j.kind.worth * size * (j.kind.late_value if late else 1.0)
         if j.tenant < len(s.tenants) and s.tenants[j.tenant].quota > 0:
             rate = self.team_rate[j.tenant] * s.fleet
             inside = min(1.0, s.tenants[j.tenant].quota / rate) if rate > 0 else 1.0
             worth *= inside + (1.0 - inside) * s.over_share_worth
-        weight = (s.weight_whole + s.weight_window) / sum(self.asked)
-        if j.lane == min(range(len(s.lanes)), key=lambda n: self.served[n] / self.asked[n]):
-            weight += s.weight_class / self.asked[j.lane]
-        return worth * weight / self.rest(j)
+        return worth * weights[j.lane] / rest
 
     def account(self, j: Job, good: bool) -> None:
         worth = j.kind.worth * (j.base if self.s.worth_by_work else 1.0)
@@ -151,15 +151,17 @@
         deadline = self.s.lanes[e.lane].deadline
         share = (e.remaining + e.age) / deadline
         cell = min(int(share / AGED), len(self.usual) - 2)
-        self.usual = [w * (1.0 - FORGET_MIX) for w in self.usual]
-        self.usual[cell] += FORGET_MIX
-        alike = sum(self.usual[max(0, cell - 1) : cell + 2]) >= USUAL * sum(self.usual)
+        self.newest /= 1.0 - FORGET_MIX  # in place of making all the others weigh less
+        if self.newest > FORGOTTEN:
+            self.usual = [w / self.newest for w in self.usual]
+            self.usual_all, self.newest = sum(self.usual), 1.0
+        self.usual[cell] += self.newest
+        self.usual_all += self.newest
+        alike = sum(self.usual[max(0, cell - 1) : cell + 2]) >= USUAL * self.usual_all
         self.tried += LEARN * ((e.retry or not alike) - self.tried)
         return e.age if alike else max(e.age, deadline - e.remaining)
 
     def arrive(self, e: Arrival) -> None:
-        if e.id in self.jobs:
-            raise ValueError(f"request {e.id} arrived twice")
         s, lane = self.s, self.s.lanes[e.lane]
         came = self.now - e.age
         self.lag += LEARN * (e.age - self.lag)
@@ -168,8 +170,11 @@
         base = max(e.work, 0.001) if e.work is not None else self.mean[e.lane]
         due = self.now + e.remaining if e.remaining is not None else max(came + lane.deadline, self.now)
         reach = min(self.part * (lane.aim + lane.aim_stretch * base), lane.deadline)
-        j = Job(e, lane, came, due, self.now + reach - self.first_try_age(e), base)
-        self.jobs[j.id] = j
+        aim = self.now + reach - self.first_try_age(e)
+        # Where runs can be stopped, one worth nothing past its aim is; not keyed work: repeats may take it.
+        stops = s.halt is not Halt.OFF and lane.effect is not Effect.KEYED and lane.late_value <= 0
+        j = Job(e, lane, came, due, aim, min(due, aim) if stops else due, base)
+        self.jobs.add(j)
         if e.tenant < len(self.team_rate):
             span = 4 * s.max_retry_after
             share = min(1.0, (self.now - self.team_at[e.tenant]) / span)
@@ -200,8 +205,8 @@
         if j.state in ("held", "paused", "replaying"):
             if j.id in self.entries and not j.ran:
                 self.out.append(api.Forget(j.id))
-                del self.entries[j.id]
-            del self.jobs[j.id]
+                self.entries.drop(j.id)
+            self.jobs.remove(j)
         elif j.state == "running" and self.s.halt is not Halt.OFF:
             self.out.append(api.Suspend(j.id))
 
@@ -215,15 +220,17 @@
             self.release(j)  # keyed work runs on while a repeat can still take its result
 
     def finish(self, e: api.Finished) -> None:
-        if not (j := self.jobs.pop(e.id, None)):
+        if not (j := self.jobs.get(e.id)):
             return
         if e.outcome is Outcome.MOOT:  # never begun: its key is free again
-            self.ran_keys.pop(j.id, None)
-            if self.entries.pop(j.id, None):
+            self.ran_keys.drop(j.id)
+            if j.id in self.entries:
+                self.entries.drop(j.id)
                 self.out.append(api.Forget(j.id))
         if j.pausing and not j.answered and e.outcome is Outcome.CANCELLED:
-            j.spent, j.state, j.pausing, self.jobs[j.id] = self.elapsed(j), "paused", False, j
-            return
+            j.spent, j.pausing = self.elapsed(j), False
+            return self.jobs.move(j, "paused")
+        self.jobs.remove(j)
         if not j.answered:
             self.account(j, e.outcome is Outcome.OK and self.now <= j.aim)
         # Runs that called count too (`spent` leaves the calls out): where every class calls, nothing
@@ -248,9 +255,6 @@
         self.promises.append(at)
         return at - self.now
 
-    def running(self) -> int:
-        return sum(j.state in ("running", "stalled") for j in self.jobs.values())
-
     def ceiling(self) -> float:
         """Runs at most: a share of the crowd that a process of this age is sure to survive."""
         s, warm = self.s, 1.0
@@ -262,63 +266,71 @@
         """Read the gauges; the cap rises while cores stand free and work waits, else falls to the cores."""
         self.wake_at = -1.0
         gauge = dict(zip(self.s.meters, e.gauges, strict=False))
-        self.cpu = gauge.get("cpu_busy", float(self.running() >= self.s.cores))
-        held = [j for j in self.jobs.values() if j.state == "held"]
+        self.cpu = gauge.get("cpu_busy", float(self.jobs.begun >= self.s.cores))
+        held = self.jobs.held.values()
         free = gauge.get("runnable", 0.0) < self.s.cores  # now; the half-second mean lags behind bursts
-        if held and free and self.cpu < CPU_HIGH and self.running() >= int(self.cap):
+        if held and free and self.cpu < CPU_HIGH and self.jobs.begun >= int(self.cap):
             self.cap = min(self.cap + max(1.0, self.cap / 8), self.ceiling())
         elif self.cpu >= CPU_HIGH:
             self.cap = max(float(self.s.cores), self.cap - 1.0)
         for table in (self.entries, self.ran_keys):
-            for key in [k for k, until in table.items() if until <= self.now and k not in self.jobs]:
-                del table[key]
+            table.clear_out(self.now, self.jobs)
         if not held:
             self.heirs.clear()
         self.waits.append((self.now, min((self.now - j.came for j in held), default=0.0)))
         while self.waits[0][0] < self.now - WINDOW * self.aim:
             self.waits.popleft()
+        self.least_wait = min(w for _, w in self.waits)
 
     def full(self) -> bool:
         """The design's test: cap reached with CPU high, or the least wait over a window above a bound."""
-        crowded = self.running() >= int(self.cap) and self.cpu >= CPU_HIGH
-        return crowded or bool(self.waits) and min(w for _, w in self.waits) > BOUND * self.aim
+        crowded = self.jobs.begun >= int(self.cap) and self.cpu >= CPU_HIGH
+        return crowded or self.least_wait > BOUND * self.aim
 
     def fits(self, more: float) -> bool:
-        big = self.s.run_factor
-        held = sum(j.kb * (1.0 if j.state in ("held", "replaying") else big) for j in self.jobs.values())
-        need = held + len(self.entries) * self.s.kb_per_key + more
+        need = self.jobs.booked + len(self.entries) * self.s.kb_per_key + more
         return self.s.memory_kb <= 0 or need <= MEMORY_SAFE * self.s.memory_kb
 
     def plan(self) -> None:
         """Run what fits, oldest first or, when full, by what core time earns; refuse what comes too late."""
-        held = [j for j in self.jobs.values() if j.state in ("held", "paused")]
+        jobs = self.jobs
+        held = [*jobs.held.values(), *jobs.paused.values()]
         if not held:
             return
         full, slow, cap = self.full(), self.slowness(), int(min(self.cap, self.ceiling()))
         # A tier that has slowed shows before its calls end; with none in hand nothing is known of it.
         # A call that is taken to be lost tells no more than that.
-        gone = [min(self.now - j.left, CALL_LOST * self.call_most)
-                for j in self.jobs.values() if j.state in ("stalled", "calling")]
-        call = max(self.call_time, sum(gone) / len(gone)) if gone else 0.0
-        big = self.s.run_factor
-        runs = [j for j in self.jobs.values() if j.state in ("running", "stalled")]
-        ends = sorted(self.now + self.rest(j) for j in runs)[-cap:]
-        away = sum(j.state == "calling" for j in self.jobs.values())  # they come back by themselves
-        free = min(cap, int(self.ceiling() / CROWD_SAFE) - away) - len(runs)
-        ends += [self.now] * max(0, cap - len(runs))
-        heapify(ends)
-        for j in held:
-            j.rate = self.score_rate(j)
+        call = 0.0
+        if jobs.stalled or jobs.calling:
+            most = CALL_LOST * self.call_most
+            gone = [min(self.now - j.left, most) for j in (*jobs.stalled.values(), *jobs.calling.values())]
+            call = max(self.call_time, sum(gone) / len(gone))
+        big, slots = self.s.run_factor, cap - jobs.begun
+        # Those in ``calling`` come back by themselves.
+        free = min(cap, int(self.ceiling() / CROWD_SAFE) - len(jobs.calling)) - jobs.begun
+        ends = [self.now] * max(0, slots)
+        if len(held) > slots:  # else all find a free core, and when the others end is of no matter
+            going = [*jobs.running.values(), *jobs.stalled.values()]
+            ends += sorted([self.now + self.rest(j) for j in going])[-cap:]
+        pausing = self.s.halt is Halt.PAUSE and any(j.pausing for j in jobs)
+        pause = self.s.halt is Halt.PAUSE and free <= 0 and not pausing
+        if full or pause or pausing or jobs.paused or not self.fits(0.0):
+            weights = self.weights()
+            for j in held:
+                j.rate = self.score_rate(j, weights)
         # Pausing guards dear short work against cheap or overlong runs ahead of it; harm: memory stays taken.
-        if self.s.halt is Halt.PAUSE and free <= 0 and not any(j.pausing for j in runs):
+        if pause:
             best = max(held, key=lambda j: (j.rate, -j.id))
-            going = [(self.score_rate(j), j.id) for j in runs if j.state == "running" and not j.answered]
-            if going and best.rate > PREEMPT * min(going)[0] and self.fits(best.kb * (big - 1)):
-                self.jobs[min(going)[1]].pausing = True
-                self.out.append(api.Suspend(min(going)[1]))
+            going = [j for j in jobs.running.values() if not j.answered]
+            least = min([(self.score_rate(j, weights), j.id) for j in going], default=(float("inf"), 0))
+            if best.rate > PREEMPT * least[0] and self.fits(best.kb * (big - 1)):
+                pausing = jobs[least[1]].pausing = True
+                self.out.append(api.Suspend(least[1]))
                 heapreplace(ends, self.now)
-        full = full or any(j.state == "paused" or j.pausing for j in self.jobs.values())
-        held.sort(key=(lambda j: (-j.rate, j.came, j.id)) if full else (lambda j: (0.0, j.came, j.id)))
+        full = full or pausing or bool(jobs.paused)
+        held.sort(key=AGES)
+        if full:
+            held.sort(key=RATES, reverse=True)
         for j in held:
             start = ends[0]
             end, keep = start + j.base * slow - j.spent, j.state == "paused"
@@ -332,7 +344,6 @@
                 end + away_by <= limit or not full and away_by < BOUND * (j.aim - j.came)
             ) and self.fits(j.kb * (big - 1))):
                 free -= 1
-                runs.append(j)
                 self.run(j)
                 heapreplace(ends, end)
             elif keep or start + away_by + (1.0 if j.hinted else MARGIN) * j.base * slow <= limit:
@@ -340,25 +351,25 @@
             else:
                 self.refuse(j)
         while not self.fits(0.0):  # memory: the held request that earns least makes room
-            if not (spare := [j for j in self.jobs.values() if j.state in ("held", "replaying")]):
+            if not (spare := [*jobs.held.values(), *jobs.replaying.values()]):
                 break
             self.refuse(min(spare, key=lambda j: (j.rate, j.id)), inviting=False)
 
     def run(self, j: Job) -> None:
         self.out.append(api.Admit(j.id))
         self.refused -= FORGET_MIX * self.refused
-        j.state, j.since, j.ran = "running", self.now, True
+        j.since, j.ran = self.now, True
+        self.jobs.move(j, "running")
         if j.keyed:
-            self.ran_keys[j.id] = j.came + 2 * (j.kind.memory_span + j.kind.deadline)
+            self.ran_keys.put(j.id, j.came + 2 * (j.kind.memory_span + j.kind.deadline))
 
     def overdue(self) -> None:
         """Answer all that falls due before the next sweep, and stop what can no longer be worth its core."""
         edge = self.now + 2 * self.s.tick
-        for j in list(self.jobs.values()):
-            lane, limit = j.kind, min(j.due, self.kill - SAMPLE)
-            if j.state == "running" and self.s.halt is not Halt.OFF and not j.keyed and lane.late_value <= 0:
-                limit = min(limit, j.aim)
-            if limit <= edge and not j.answered:
+        leaving = self.kill - SAMPLE <= edge
+        for j in list(self.jobs) if leaving else self.jobs.due(edge):
+            lane, limit = j.kind, j.stop if j.state == "running" else j.due
+            if (leaving or limit <= edge) and not j.answered:
                 if j.state == "running":
                     seen = max(0.0, self.elapsed(j) / j.base - self.slow)
                     self.slow += (STOPPED if j.hinted else LEARN) * seen
@@ -375,7 +386,8 @@
         before = self.jobs.get(first) if first else None
         if j.keyed:
             if first in self.ran_keys:
-                j.state, j.ran = "replaying", True
+                j.ran = True
+                self.jobs.move(j, "replaying")
                 return self.out.append(api.Replay(j.id))
             if before is not None and before is not j and before.state == "held":
                 self.heirs[before.id] = j.id
@@ -385,19 +397,21 @@
                 self.refuse(j)
             elif ttl > 0:
                 self.out.append(api.Retain(j.id, ttl))
-                self.entries[j.id] = self.now + ttl
+                self.entries.put(j.id, self.now + ttl)
         elif s.share_for > 0 and before is not None and before.state == "running":
-            j.state = "replaying"
+            self.jobs.move(j, "replaying")
             self.out.append(api.Replay(j.id))
 
     def call_needed(self, e: api.CallNeeded) -> None:
         if j := self.jobs.get(e.id):
-            j.spent, j.state, j.left = self.elapsed(j), "stalled", self.now
+            j.spent, j.left = self.elapsed(j), self.now
+            self.jobs.move(j, "stalled")
 
     def call_ended(self, e: api.CallEnded) -> None:
         if not (j := self.jobs.get(e.id)):
             return
-        j.state, j.since = "running" if e.outcome is Outcome.OK else "stalled", self.now
+        j.since = self.now
+        self.jobs.move(j, "running" if e.outcome is Outcome.OK else "stalled")
         if e.outcome is Outcome.OK:
             j.called += 1
             self.call_time += LEARN * (self.now - j.left - self.call_time)
@@ -416,14 +430,15 @@
 
     def skip(self, j: Job) -> None:
         self.out.append(api.SkipCall(j.id))
-        j.state, j.since = "running", self.now
+        j.since = self.now
+        self.jobs.move(j, "running")
 
     def calls(self) -> None:
         """Calls in hand keep to this server's share, now and in the window's mean; others wait."""
-        stalled = sorted((j for j in self.jobs.values() if j.state == "stalled"), key=lambda j: (j.due, j.id))
+        stalled = sorted(self.jobs.stalled.values(), key=lambda j: (j.due, j.id))
         while self.lingering and self.lingering[0] <= self.now:
             self.lingering.popleft()
-        busy = sum(j.state == "calling" for j in self.jobs.values()) + len(self.lingering)
+        busy = len(self.jobs.calling) + len(self.lingering)
         part = min(1.0, (self.now - self.calls_at) / self.s.call_window) if self.s.call_window > 0 else 1.0
         self.calls_mean += part * (busy - self.calls_mean)
         self.calls_at = self.now
@@ -434,7 +449,7 @@
             if busy < max(1.0, share) and self.calls_mean < share:
                 wait = min(self.patience(j), j.due - self.now - SAMPLE)
                 self.out.append(api.Call(j.id, max(self.s.tick, wait)))
-                j.state = "calling"
+                self.jobs.move(j, "calling")
                 busy += 1
             elif j.kind.skip_worth > 0 and self.now + j.base * self.slow > j.aim:
                 self.skip(j)
@@ -465,14 +480,17 @@
 
     def advertise(self) -> None:
         """The free value: outstanding requests for each caller, or a chance, by what fits the aim."""
-        full, run = self.full(), self.slowness() * sum(self.mean) / len(self.mean)
+        if self.s.advice is api.Advice.OFF:
+            return
+        full = self.full()
         value = 0.1 if full else 0.0  # the least rank
         if self.s.advice is api.Advice.TOKENS:
+            run = self.slowness() * sum(self.mean) / len(self.mean)
             value = self.cap * (1 + BOUND * self.aim / max(run, 1.0)) / max(1, self.s.callers)
             value = value if full else max(1.0, value)  # a part of one would pass over a free server
         elif self.s.advice is api.Advice.BIAS:
             value = min(1.0, self.s.cores / max(1, len(self.jobs))) if full else 1.0
-        if self.s.advice is not api.Advice.OFF and abs(value - self.told) > 0.1 * max(self.told, 0.1):
+        if abs(value - self.told) > 0.1 * max(self.told, 0.1):
             self.told = value
             self.out.append(api.Advertise(value))
 
--- /dev/null
+++ b/lemonway/state/__init__.py
@@ -0,0 +1,1 @@
+"""What the decision module keeps between steps. Nothing is decided here; no clock, no socket, no wire."""
--- a/tests/test_dsrt.py
+++ b/tests/test_dsrt.py
@@ -103,9 +103,8 @@
         slow.step(n * 50.0, [Woken(1, (0.1,))])
         if n * 50.0 > 550.0 and slow.jobs.get(2):
             break
-    assert min(w for _, w in slow.waits) <= 1000.0
-    slow.waits.clear()
-    slow.waits.append((0.0, 501.0))
+    assert slow.least_wait == min(w for _, w in slow.waits) <= 1000.0
+    slow.least_wait = 501.0
     assert slow.full()
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -18,13 +18,17 @@
     assert "lemonway/interface.py" in "\n".join(lines[:3])
 
 
-def test_the_module_imports_only_the_standard_library_and_the_interface() -> None:
-    for node in ast.walk(ast.parse(LOGIC)):
+def test_the_module_imports_only_the_standard_library_the_interface_and_its_state() -> None:
+    """And its state no more than it does."""
+    state = [path.read_text() for path in (ROOT / "lemonway" / "state").glob("*.py")]
+    assert len(state) > 2
+    for node in [node for text in (LOGIC, *state) for node in ast.walk(ast.parse(text))]:
         if isinstance(node, ast.Import):
             assert all(name.name.split(".")[0] in sys.stdlib_module_names for name in node.names)
         if isinstance(node, ast.ImportFrom):
             if node.level:
-                assert node.module == "interface" or [name.name for name in node.names] == ["interface"]
+                known = node.module is not None and node.module.split(".")[0] in ("interface", "state")
+                assert known or [name.name for name in node.names] == ["interface"]
             else:
                 assert str(node.module).split(".")[0] in sys.stdlib_module_names
             assert node.module not in ("time", "random", "datetime", "os")
