--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,5 +1,6 @@
 """``python -m benchmarks``: the account of the ordinary path as a table (``--json FILE``: as data), ``--guard`` against
-the committed ceilings, ``--accept`` to write new ones, ``--against CHECKOUT`` to time reading in turns with another.
+the committed ceilings, ``--accept`` to write new ones, ``--against CHECKOUT`` to time reading, deciding and whole
+requests in turns with another.
 
 Counts are the same in every run of one Python, so the guard needs no quiet machine; times are only ever compared in
 turns with those of another checkout."""
@@ -28,7 +29,7 @@
 GUARDED = ("calls", "c_calls", "reads", "writes", "timers", "copied", "allocations", "allocated")
 BYTES = ("copied", "allocated")
 SMALL = 100  # in hand: the guard counts no more
-TURNS = 5
+TIMES = ("reading.py", "deciding.py", "whole.py")
 
 
 def cases(most: int) -> Iterator[tuple[Path, int, int]]:
@@ -77,21 +78,25 @@
 
 
 def timed(checkout: File) -> dict[str, float]:
-    done = subprocess.run([sys.executable, str(File(__file__).with_name("reading.py"))], capture_output=True, text=True,
-                          cwd=checkout, env={**os.environ, "PYTHONPATH": str(checkout)})
-    if done.returncode:
-        raise click.ClickException(f"{checkout}: {done.stderr.strip().splitlines()[-1]}")
-    found: dict[str, float] = json.loads(done.stdout)
+    """What each program of times says of this checkout, microseconds a request."""
+    found: dict[str, float] = {}
+    for program in TIMES:
+        done = subprocess.run([sys.executable, str(File(__file__).with_name(program))], capture_output=True, text=True,
+                              cwd=checkout, env={**os.environ, "PYTHONPATH": str(checkout)})
+        if done.returncode:
+            raise click.ClickException(f"{checkout}: {program}: {done.stderr.strip().splitlines()[-1]}")
+        found |= json.loads(done.stdout)
+        print(f"{checkout}: {program} ...", file=sys.stderr, flush=True)
     return found
 
 
-def against(other: File, console: Console) -> dict[str, Any]:
-    """Reading here and there, in turns; the ratio is the median of those turn by turn."""
+def against(other: File, turns: int, console: Console) -> dict[str, Any]:
+    """Reading, deciding and whole requests here and there, in turns; the ratio is the median of those turn by turn."""
     here, there = [], []
-    for _ in range(TURNS):
+    for _ in range(turns):
         there.append(timed(other))
         here.append(timed(ROOT))
-    shown = Table("reading, us of CPU a request", "there", "here", "here / there", "least", "most")
+    shown = Table("us of CPU a request", "there", "here", "here / there", "least", "most")
     data = {}
     for name in here[0]:
         ratios = [a[name] / b[name] for a, b in zip(here, there, strict=True)]
@@ -109,14 +114,16 @@
 @click.option("--guard", is_flag=True, help="End with 1 if a counter is 5%, or one a request, over its ceiling.")
 @click.option("--accept", is_flag=True, help="Write the counts as the new ceilings.")
 @click.option("--against", "other", type=click.Path(exists=True, file_okay=False),
-              help="Time reading in turns with this checkout.")
+              help="Time reading, deciding and whole requests in turns with this checkout.")
+@click.option("--turns", type=click.IntRange(1), default=5, show_default=True, help="Turns of --against.")
 @click.option("--most", type=click.IntRange(1), default=1000, show_default=True, help="Requests in hand, at most.")
 @click.option("--only", default="", help="Paths whose 'front, name' holds these words.")
-def main(json_: str | None, guard: bool, accept: bool, other: str | None, most: int, only: str) -> None:
+def main(json_: str | None, guard: bool, accept: bool, other: str | None, turns: int, most: int,
+         only: str) -> None:
     """What a request costs the node on the ordinary path."""
     console = Console(highlight=False, width=None if sys.stdout.isatty() else 160)
     if other is not None:
-        data: Any = against(File(other).resolve(), console)
+        data: Any = against(File(other).resolve(), turns, console)
     else:
         rows = account(SMALL if guard or accept else most, True, only)
         table(rows, console)
--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -12,6 +12,8 @@
 from .interface import Action, Arrival, Effect, Halt, Outcome
 from .state.expiring import Expiring
 from .state.inhand import InHand, Job
+from .state.recent import Recent
+from .state.standing import Standing
 
 SAMPLE = 50.0  # ms between sweeps while work is in hand: well inside any answer grace, cheap in CPU
 CPU_HIGH = 0.95  # share of the cores busy from which they count as full (the gauge is a half-second mean)
@@ -29,7 +31,6 @@
 STUCK = 3.0  # a run older than so many times its expected time tells that the server has slowed
 ELSEWHERE = 0.3  # share of arrivals tried before (or refused) from which others are taken to be full too
 AGED = 0.03  # steps, as a share of a class's deadline, in which waits are told apart
-FORGOTTEN = 1000000.0  # weight of the newest arrival, of the first one, from which all are scaled down
 USUAL = 0.2  # share of the arrivals from which a wait is a usual one: callers have a few habits
 MARGIN = 1.5  # a held request's run time is stretched so where no hint tells it: half of all take longer
 LAG = 0.15  # share of the shortest aim that requests lie unread from which reading itself is drowned
@@ -38,6 +39,7 @@
 CALL_LOST = 2.0  # times the longest of late (FORGET_MIX a call) from which a call is taken to be lost
 CALL_PART = 0.5  # share of an aim that a call for a request of the tier above may take
 RATE_SPAN = 5000.0  # ms over which the rate of arrivals is learned: a few dozen even at a few a second
+MANY = 32  # held requests up to which all are planned anew in every step: that costs a tenth of a millisecond
 AGES, RATES = attrgetter("came", "id"), attrgetter("rate")
 
 
@@ -59,13 +61,14 @@
         self.call_time = 0.0  # from its coming to a call until the reply
         self.gap = self.cpu = self.lag = 0.0
         self.last_end = -1.0
-        self.usual = [0.0] * (int(1.0 / AGED) + 3)  # arrivals by wait, in steps of AGED
-        self.usual_all, self.newest = 0.0, 1.0
+        self.usual = Recent(int(1.0 / AGED) + 3, FORGET_MIX)  # arrivals by wait, in steps of AGED
         self.tried = self.refused = 0.0
         self.asked, self.served = [lane.worth for lane in s.lanes], [lane.worth for lane in s.lanes]
         self.team_rate, self.team_at = [0.0] * len(s.tenants), [0.0] * len(s.tenants)
         self.promises, self.waits = deque[float](), deque[tuple[float, float]]()
         self.least_wait = 0.0  # in the hold, over the window
+        self.order, self.fresh, self.free = Standing(), list[Job](), 0  # free: cores, within a plan
+        self.outlook = (False, 1.0, 0.0)  # full, slowness and the time of a call, within a plan
         self.cap = float(s.cores)
         self.told = self.kept = self.storm = -1.0
         self.rate, self.rate_at = 0.0, 0.0  # arrivals a millisecond
@@ -151,13 +154,8 @@
         deadline = self.s.lanes[e.lane].deadline
         share = (e.remaining + e.age) / deadline
         cell = min(int(share / AGED), len(self.usual) - 2)
-        self.newest /= 1.0 - FORGET_MIX  # in place of making all the others weigh less
-        if self.newest > FORGOTTEN:
-            self.usual = [w / self.newest for w in self.usual]
-            self.usual_all, self.newest = sum(self.usual), 1.0
-        self.usual[cell] += self.newest
-        self.usual_all += self.newest
-        alike = sum(self.usual[max(0, cell - 1) : cell + 2]) >= USUAL * self.usual_all
+        self.usual.add(cell)
+        alike = self.usual.share(cell - 1, cell + 1) >= USUAL
         self.tried += LEARN * ((e.retry or not alike) - self.tried)
         return e.age if alike else max(e.age, deadline - e.remaining)
 
@@ -175,6 +173,7 @@
         stops = s.halt is not Halt.OFF and lane.effect is not Effect.KEYED and lane.late_value <= 0
         j = Job(e, lane, came, due, aim, min(due, aim) if stops else due, base)
         self.jobs.add(j)
+        self.fresh.append(j)
         if e.tenant < len(self.team_rate):
             span = 4 * s.max_retry_after
             share = min(1.0, (self.now - self.team_at[e.tenant]) / span)
@@ -230,13 +229,14 @@
         if j.pausing and not j.answered and e.outcome is Outcome.CANCELLED:
             j.spent, j.pausing = self.elapsed(j), False
             return self.jobs.move(j, "paused")
+        ran, took = j.state == "running", self.elapsed(j)
         self.jobs.remove(j)
         if not j.answered:
             self.account(j, e.outcome is Outcome.OK and self.now <= j.aim)
         # Runs that called count too (`spent` leaves the calls out): where every class calls, nothing
         # else would ever be learned, and refusals would carry no promise.
-        if j.state == "running" and e.outcome is Outcome.OK:
-            self.learn(j, self.elapsed(j))
+        if ran and e.outcome is Outcome.OK:
+            self.learn(j, took)
             self.calls_of[j.lane] += LEARN * (j.called - self.calls_of[j.lane])
 
     def promise(self, j: Job) -> float:
@@ -264,7 +264,7 @@
 
     def sample(self, e: api.Woken) -> None:
         """Read the gauges; the cap rises while cores stand free and work waits, else falls to the cores."""
-        self.wake_at = -1.0
+        self.wake_at, self.order.good = -1.0, False
         gauge = dict(zip(self.s.meters, e.gauges, strict=False))
         self.cpu = gauge.get("cpu_busy", float(self.jobs.begun >= self.s.cores))
         held = self.jobs.held.values()
@@ -292,8 +292,10 @@
         return self.s.memory_kb <= 0 or need <= MEMORY_SAFE * self.s.memory_kb
 
     def plan(self) -> None:
-        """Run what fits, oldest first or, when full, by what core time earns; refuse what comes too late."""
-        jobs = self.jobs
+        """Run what fits, oldest first or, when full, by what core time earns; refuse what comes too late. Of
+        many only sweeps plan all: steps between keep the order, arrivals take places in it. Guards against
+        a step that costs as much as there are held. Harm: order and starts are up to a sweep old."""
+        jobs, (fresh, self.fresh) = self.jobs, (self.fresh, [])
         held = [*jobs.held.values(), *jobs.paused.values()]
         if not held:
             return
@@ -307,14 +309,19 @@
             call = max(self.call_time, sum(gone) / len(gone))
         big, slots = self.s.run_factor, cap - jobs.begun
         # Those in ``calling`` come back by themselves.
-        free = min(cap, int(self.ceiling() / CROWD_SAFE) - len(jobs.calling)) - jobs.begun
+        self.free = min(cap, int(self.ceiling() / CROWD_SAFE) - len(jobs.calling)) - jobs.begun
+        pausing = self.s.halt is Halt.PAUSE and any(j.pausing for j in jobs)
+        pause = self.s.halt is Halt.PAUSE and self.free <= 0 and not pausing
+        self.outlook = (full or pausing or bool(jobs.paused), slow, call)
+        exact = len(held) <= MANY or pause or pausing or jobs.paused or not self.fits(0.0)
+        if self.order.good and not exact:
+            return self.follow(fresh)
+        self.order.good = False
         ends = [self.now] * max(0, slots)
         if len(held) > slots:  # else all find a free core, and when the others end is of no matter
             going = [*jobs.running.values(), *jobs.stalled.values()]
             ends += sorted([self.now + self.rest(j) for j in going])[-cap:]
-        pausing = self.s.halt is Halt.PAUSE and any(j.pausing for j in jobs)
-        pause = self.s.halt is Halt.PAUSE and free <= 0 and not pausing
-        if full or pause or pausing or jobs.paused or not self.fits(0.0):
+        if self.outlook[0] or pause or not self.fits(0.0):
             weights = self.weights()
             for j in held:
                 j.rate = self.score_rate(j, weights)
@@ -324,36 +331,56 @@
             going = [j for j in jobs.running.values() if not j.answered]
             least = min([(self.score_rate(j, weights), j.id) for j in going], default=(float("inf"), 0))
             if best.rate > PREEMPT * least[0] and self.fits(best.kb * (big - 1)):
-                pausing = jobs[least[1]].pausing = True
+                jobs[least[1]].pausing = True
                 self.out.append(api.Suspend(least[1]))
                 heapreplace(ends, self.now)
-        full = full or pausing or bool(jobs.paused)
+                self.outlook = (True, slow, call)
         held.sort(key=AGES)
-        if full:
+        if self.outlook[0]:
             held.sort(key=RATES, reverse=True)
+        starts = []
         for j in held:
-            start = ends[0]
-            end, keep = start + j.base * slow - j.spent, j.state == "paused"
-            away_by = call * self.calls_of[j.lane]
-            limit = min(j.due if j.kind.late_value > 0 and not full else j.aim, j.due, self.kill)
-            if not (keep and j.keyed) and (limit <= self.now or (j.came > self.grace_end and not keep)):
-                self.refuse(j, inviting=False)
-            # Hints are rough: on a server that is not full a run that looks too long costs nobody its place.
-            # Where calls take long it does: it takes a call that another would end in time with.
-            elif free > 0 and (keep or (
-                end + away_by <= limit or not full and away_by < BOUND * (j.aim - j.came)
-            ) and self.fits(j.kb * (big - 1))):
-                free -= 1
-                self.run(j)
-                heapreplace(ends, end)
-            elif keep or start + away_by + (1.0 if j.hinted else MARGIN) * j.base * slow <= limit:
-                heapreplace(ends, end)
-            else:
-                self.refuse(j)
+            starts.append(ends[0])
+            if self.settle(j, ends[0]):
+                heapreplace(ends, ends[0] + j.base * slow - j.spent)
         while not self.fits(0.0):  # memory: the held request that earns least makes room
             if not (spare := [*jobs.held.values(), *jobs.replaying.values()]):
                 break
             self.refuse(min(spare, key=lambda j: (j.rate, j.id)), inviting=False)
+        if len(held) > MANY:
+            self.order.renew(self.outlook[0], held, starts, ends[0])
+
+    def follow(self, fresh: list[Job]) -> None:
+        """Plan by the order as it stands."""
+        weights, free = self.weights(), self.free
+        for j in [j for j in fresh if j.state == "held"]:
+            j.rate = self.score_rate(j, weights)
+            place, start = self.order.insert(j)
+            if place >= free:
+                self.free = 0
+                self.settle(j, start)
+        self.free = free
+        for j in self.order.first(4 * free):  # some may be too late or too big by now
+            self.settle(j, self.now)
+
+    def settle(self, j: Job, start: float) -> bool:
+        """Run it if a core is free, keep it for one from ``start`` on, or refuse it (False)."""
+        full, slow, call = self.outlook
+        end, keep = start + j.base * slow - j.spent, j.state == "paused"
+        away_by = call * self.calls_of[j.lane]
+        limit = min(j.due if j.kind.late_value > 0 and not full else j.aim, j.due, self.kill)
+        if not (keep and j.keyed) and (limit <= self.now or (j.came > self.grace_end and not keep)):
+            self.refuse(j, inviting=False)
+        # Hints are rough: on a server that is not full a run that looks too long costs nobody its place.
+        # Where calls take long it does: it takes a call that another would end in time with.
+        elif self.free > 0 and (keep or (
+            end + away_by <= limit or not full and away_by < BOUND * (j.aim - j.came)
+        ) and self.fits(j.kb * (self.s.run_factor - 1))):
+            self.free -= 1
+            self.run(j)
+        elif not keep and start + away_by + (1.0 if j.hinted else MARGIN) * j.base * slow > limit:
+            self.refuse(j)
+        return not j.answered
 
     def run(self, j: Job) -> None:
         self.out.append(api.Admit(j.id))
--- a/lemonway/state/inhand.py
+++ b/lemonway/state/inhand.py
@@ -25,7 +25,7 @@
     def __init__(self, e: Arrival, kind: Lane, came: float, due: float, aim: float, stop: float, base: float) -> None:
         self.id, self.lane, self.kind, self.tenant, self.retry = e.id, e.lane, kind, e.tenant, e.retry
         self.came, self.due, self.aim, self.stop, self.base, self.kb = came, due, aim, stop, base, e.size_kb
-        self.state = "held"  # held, running, paused, stalled (wants a call), calling, replaying
+        self.state = "held"  # held, running, paused, stalled (wants a call), calling, replaying, over
         self.since = self.spent = self.rate = self.recall = self.spacing = self.waited = 0.0
         self.left, self.called = 0.0, 0  # when it came to its last call, and how many it has had
         self.answered = self.ran = self.pausing = False
@@ -94,7 +94,8 @@
 
     def remove(self, j: Job) -> None:
         del self.all[j.id], self._by[j.state][j.id]
-        self.booked = self.booked - j.kb * self._factor[j.state] if self.all else 0.0  # no rounding outlives a calm
+        factor, j.state = self._factor[j.state], "over"
+        self.booked = self.booked - j.kb * factor if self.all else 0.0  # no rounding outlives a calm
         self._clear_out()
 
     def due(self, edge: float) -> list[Job]:
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -12,7 +12,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import astuple, dataclass, fields, is_dataclass
+from dataclasses import astuple, dataclass, fields, is_dataclass, replace
 from enum import Enum
 from pathlib import Path
 from typing import Any
@@ -123,6 +123,17 @@
                 yield from recorder.lives
 
 
+def of_crowds() -> Iterator[Life]:
+    """So many held that the order is followed between sweeps."""
+    for seed, (halt, cores, load) in enumerate([(api.Halt.OFF, 2, 30.0), (api.Halt.DROP, 5, 20.0)], 101):
+        recorder = Recorder(200)
+        with mock.patch.object(world, "Policy", recorder):
+            site = world.settings(halt, True, False, cores, api.Advice.TOKENS)
+            made = world.World(replace(site, memory_kb=site.memory_kb * 40), seed)
+        made.play(120, load)
+        yield from recorder.lives
+
+
 def same(one: Any, other: Any) -> bool:
     if type(one) is not type(other):
         return False
@@ -150,7 +161,7 @@
     kinds: Counter[str] = Counter()
     steps = 0
     with gzip.GzipFile(FILE, "wb", mtime=0) as file:
-        for life in [*of_days(), *of_worlds()]:
+        for life in [*of_days(), *of_worlds(), *of_crowds()]:
             file.write((life.line() + "\n").encode())
             kinds += life.kinds()
             steps += len(life.steps)
