Copy whole runs in the ring, and take a uwsgi block's variables by position

Cause: in the profile of a served request the ring's writes and looks come first: each cut its bytes in two parts and joined them even where nothing lies across the seam; a uwsgi variable was cut, decoded and measured one by one.

Change: one copy where bytes lie in one run; a line and its end are taken out in one go; a uwsgi block is decoded once and cut by the sizes in it, with the same refusals.

--- a/lemonway/net/protocol/uwsgi.py
+++ b/lemonway/net/protocol/uwsgi.py
@@ -86,22 +86,23 @@
 def parse_vars(block: bytes) -> dict[str, str]:
     out: dict[str, str] = {}
     at, end = 0, len(block)
-    words: list[str] = []
+    text = block.decode("latin-1")  # once, a character a byte: sizes count in both
+    name: str | None = None
     while at < end:
         if at + 2 > end:
             raise UwsgiError("size cut short")
-        size = int.from_bytes(block[at : at + 2], "little")
-        at += 2
-        if at + size > end:
+        start = at + 2
+        at = start + block[at] + (block[at + 1] << 8)
+        if at > end:
             raise UwsgiError("variable cut short")
-        words.append(block[at : at + size].decode("latin-1"))
-        at += size
-        if len(words) == 2:
-            if not words[0]:
-                raise UwsgiError("variable without a name")
-            out[words[0]], words = words[1], []
-    if words:
-        raise UwsgiError(f"{words[0][:40]} has no value")
+        if name is None:
+            name = text[start:at]
+        elif name:
+            out[name], name = text[start:at], None
+        else:
+            raise UwsgiError("variable without a name")
+    if name is not None:
+        raise UwsgiError(f"{name[:40]} has no value")
     return out
 
 
--- a/lemonway/net/transport/connection.py
+++ b/lemonway/net/transport/connection.py
@@ -95,13 +95,11 @@
                     if self._unwanted:
                         break
                 elif self.line_mode:
-                    at = ring.find(b"\r\n", self.MAX_LENGTH + 2)
-                    if at < 0:
+                    line = ring.read_line(b"\r\n", self.MAX_LENGTH + 2)
+                    if line is None:
                         if len(ring) > self.MAX_LENGTH:
                             self.lineLengthExceeded(b"")
                         break
-                    line = ring.read(at)
-                    ring.skip(2)
                     self.lineReceived(line)
                 elif len(ring) < self._wanted:
                     break
--- a/lemonway/net/transport/ring.py
+++ b/lemonway/net/transport/ring.py
@@ -31,9 +31,12 @@
             self._grow(need)
         store = len(self._data)
         at = (self._head + self._size) % store
-        first = min(len(data), store - at)
-        self._data[at : at + first] = data[:first]
-        self._data[: len(data) - first] = data[first:]
+        end = at + len(data)
+        if end <= store:
+            self._data[at:end] = data
+        else:
+            self._data[at:] = data[: store - at]
+            self._data[: end - store] = data[store - at :]
         self._size = need
         return True
 
@@ -57,9 +60,12 @@
         count = min(count, self._size - offset)
         if count <= 0:
             return b""
-        at = (self._head + offset) % len(self._data)
-        first = min(count, len(self._data) - at)
-        return bytes(self._data[at : at + first]) + bytes(self._data[: count - first])
+        store = len(self._data)
+        at = (self._head + offset) % store
+        end = at + count
+        if end <= store:
+            return bytes(self._data[at:end])
+        return bytes(self._data[at:] + self._data[: end - store])
 
     def skip(self, count: int) -> int:
         count = min(count, self._size)
@@ -72,6 +78,15 @@
         self.skip(len(data))
         return data
 
+    def read_line(self, end: bytes, limit: int) -> bytes | None:
+        """The bytes before ``end``, both taken out, if it lies whole within the first ``limit`` bytes."""
+        at = self.find(end, limit)
+        if at < 0:
+            return None
+        line = self.peek(at)
+        self.skip(at + len(end))
+        return line
+
     def find(self, needle: bytes, limit: int) -> int:
         """Where ``needle`` starts, if it lies whole within the first ``limit`` bytes; else -1."""
         limit = min(limit, self._size)
