--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -9,22 +9,8 @@
 from world import World, settings
 
 from lemonway import Policy, brain
-from lemonway.interface import (
-    Abandoned,
-    Action,
-    Admit,
-    Advice,
-    Arrival,
-    Drain,
-    Event,
-    Finished,
-    Halt,
-    Lane,
-    Outcome,
-    Refuse,
-    Settings,
-    Woken,
-)
+from lemonway import interface as api
+from lemonway.interface import Admit, Arrival, Event, Finished, Lane, Outcome, Refuse, Settings, Woken
 from lemonway.state.inhand import Job
 from lemonway.state.standing import Standing
 
@@ -40,7 +26,7 @@
     return j
 
 
-def said(actions: list[Action]) -> list[tuple[str, int]]:
+def said(actions: list[api.Action]) -> list[tuple[str, int]]:
     words = {Admit: ADMITTED, Refuse: REFUSED}
     return [(words[type(a)], a.id) for a in actions if isinstance(a, Admit | Refuse)]
 
@@ -92,7 +78,7 @@
         self.assertEqual(said(self.policy.step(101.0, [Finished(1, 100.0, Outcome.OK)])), [(ADMITTED, 50)])
 
     def test_who_left_is_passed_over(self) -> None:
-        self.policy.step(52.0, [Abandoned(3), Abandoned(4)])
+        self.policy.step(52.0, [api.Abandoned(3), api.Abandoned(4)])
         self.assertEqual(said(self.policy.step(101.0, [Finished(1, 100.0, Outcome.OK)])), [(ADMITTED, 5)])
 
     def test_the_next_sweep_plans_all_anew(self) -> None:
@@ -103,7 +89,7 @@
         self.assertGreater(sum(word == REFUSED for word, _ in told), 20)
 
     def test_a_drain_ends_all_by_the_kill(self) -> None:
-        told = said(self.policy.step(52.0, [Drain(500.0)]))
+        told = said(self.policy.step(52.0, [api.Drain(500.0)]))
         told += said(self.policy.step(60.0, [Arrival(50, 0, work=20.0)]))
         for n in range(2, 12):
             told += said(self.policy.step(1.0 + 50.0 * n, [Woken(1, (1.0, 2.0))]))
@@ -147,9 +133,9 @@
         follow = Policy.follow
         with mock.patch.object(brain, "MANY", 2), mock.patch.object(Policy, "follow", counted):
             for seed in range(24):
-                halt, calls, cores = list(Halt)[seed % 3], seed % 2 == 0, (1, 2, 5)[seed // 3 % 3]
+                halt, calls, cores = list(api.Halt)[seed % 3], seed % 2 == 0, (1, 2, 5)[seed // 3 % 3]
                 with self.subTest(seed=seed, halt=halt, calls=calls, cores=cores):
-                    site = settings(halt, calls, seed % 4 == 1, cores, list(Advice)[seed % 4])
+                    site = settings(halt, calls, seed % 4 == 1, cores, list(api.Advice)[seed % 4])
                     world = World(replace(site, memory_kb=site.memory_kb * (1 if seed % 2 else 20)), seed)
                     world.play(400, (2.0, 4.0, 8.0)[seed % 3], drain_at=120 if seed % 5 == 0 else None)
                     self.assertEqual(world.faults, [])
