Read CANCEL, limit and second on the routers' front instead of closing at CANCEL

The node's log named no fault of the brain and bad_frames only.

The change: CANCEL gives the request up in the core (no answer, a crossed one passed over and counted); limit becomes the request's patience, so its due time; second reaches the brain as Arrival.retry. Tests on sockets and a table of fields fail on the old code.

--- a/lemonway/kit/clients.py
+++ b/lemonway/kit/clients.py
@@ -89,6 +89,11 @@
         self.write(self.frame(b"CALL", b"%d" % tag, handler.encode(), text, body))
         return tag
 
+    def cancel(self, tag: int) -> None:
+        """Wait no more for the request of this tag."""
+        self.tally.give_up(self.name, tag)
+        self.write(self.frame(b"CANCEL", b"%d" % tag))
+
     def check(self, deep: bool) -> int:
         self.tag += 1
         self.tally.ask(self.name, self.tag, "check")
--- a/lemonway/net/ports.py
+++ b/lemonway/net/ports.py
@@ -56,6 +56,7 @@
     unique: str = ""
     item: int = 0
     patience: int = 0  # how long its caller waits, if it says; 0 = the class's deadline
+    retry: bool = False  # marked as a further try or a second copy
 
 
 class WorkerPool(Protocol):
--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -26,6 +26,7 @@
 SPARE_NEW = 150_000  # a connection younger than this is not closed for another: its first request is on the way
 SPARE_USED = 250_000  # nor is one on which something has just passed
 DOOR_MOST = 2**43  # Unix milliseconds, some centuries on
+LIMIT_MOST = 1e8  # ms that a router may say it waits: a day and more
 
 _TXN = re.compile(rb"[0-9a-f]{16}\Z")
 _UNIQUE = re.compile(rb"[0-9a-f]{32}\Z")
@@ -180,12 +181,18 @@
     item = fields.get(b"item", b"")
     if item and not _TXN.match(item):
         raise FieldError(f"item is {item[:40]!r}")
+    second = fields.get(b"second", b"0")
+    if second not in (b"0", b"1"):
+        raise FieldError(f"second is {second[:20]!r}")
+    # How long the router waits for this try, from door: the request's due time where it comes sooner than the
+    # class's deadline. A limit of 0 is a caller that waits no more; the core then answers at once.
+    limit = _decimal(fields, b"limit", -1.0, LIMIT_MOST) if b"limit" in fields else -1.0
     return Incoming(
         front, int(items[1]), txn.decode(), lane, team, clock.from_unix_ms(int(door)),
         items[4] if len(items) == 5 else b"", int(caller),
         _decimal(fields, b"cpu", 0.0, 1e7) or None, _decimal(fields, b"ram", 0.0, 1e6),
         _decimal(fields, b"standing", 0.0, 1.0), unique.decode() if lane in names.keyed else "",
-        int(item, 16) if item else 0,
+        int(item, 16) if item else 0, max(1, round(limit * 1000)) if limit >= 0 else 0, second == b"1",
     )
 
 
@@ -315,6 +322,9 @@
         connection is closed."""
         self.used, self.fresh, self.half_since = self.turns.clock.now, False, 0
         tag = self.tag_of(items)
+        if items[0] == b"CANCEL" and tag > 0:
+            self.cancel(tag)  # never answered: the tag's request may have had its answer already
+            return
         if tag < 0 or tag in self.open:
             self.refuse_more()
             return
@@ -347,6 +357,16 @@
             return int(items[1])
         return -1
 
+    def cancel(self, tag: int) -> None:
+        """The router waits no more for this request: no answer is owed. One that crossed its answer is passed over."""
+        ident = self.open.pop(tag, None)
+        if ident is None:
+            self.desk.counters["cancels_after_answer"] += 1
+            return
+        self.desk.counters["cancels"] += 1
+        self.desk.gave_up(ident)
+        self.close_if_done()
+
     def check(self, tag: int, items: list[bytes]) -> None:
         fields = read_fields(items[2]) if len(items) > 2 else {}
         self.checks += 1
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -332,12 +332,12 @@
                 self.counters["action_faults"] += 1
                 log.exception("%s failed", action)
 
-    def _arrival(self, record: Record) -> api.Event:
+    def _arrival(self, record: Record) -> api.Arrival:
         inc = record.inc
         left = max(0.001, (record.due - self.clock.now) / 1000) if inc.patience else None
         return api.Arrival(
             record.ident, inc.lane, inc.tenant, inc.item, left, inc.work_ms, inc.ram_kb, inc.rank,
-            caller=inc.caller, age=(self.clock.now - inc.came) / 1000, repeats=record.repeats,
+            retry=inc.retry, caller=inc.caller, age=(self.clock.now - inc.came) / 1000, repeats=record.repeats,
             write=self.settings.lanes[inc.lane].effect is not Effect.SAFE,
         )
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -98,7 +98,17 @@
         self.assertEqual((got.caller, got.work_ms, got.ram_kb, got.rank), (4, 12.5, 24.5, 0.625))
         self.assertEqual((got.unique, got.body), (key[8:].decode(), b"BODY"))
         self.assertLess(abs(clock.to_unix_ms(got.came) - 1764576000123), 2)
+        self.assertEqual((got.patience, got.retry), (0, False))
+        for said, patience, retry in [
+            (b",limit=480", 480_000, False), (b",limit=0.5,second=1", 500, True), (b",limit=0", 1, False),
+            (b",second=0", 0, False), (b",second=1", 0, True),
+        ]:
+            with self.subTest(said):
+                got = read(b"busca", good + said)
+                self.assertEqual((got.patience, got.retry), (patience, retry))
         for handler, fields in [
+            (b"busca", good + b",limit=-1"), (b"busca", good + b",limit=soon"), (b"busca", good + b",limit=1e9"),
+            (b"busca", good + b",second=2"), (b"busca", good + b",second="),
             (b"nothing", good), (b"cadastro", good), (b"cadastro", good + b",unique=xyz"),
             (b"busca", b"door=1764576000123"), (b"busca", b"txn=9B1F03AA5C7E2D41,door=1"),
             (b"busca", good.replace(b"1764576000123", b"1e9")), (b"busca", good.replace(b"lb=4", b"lb=-4")),
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -233,6 +233,66 @@
         stage.spin(lambda: stage.acervo.open == 0)
 
 
+class TheirWire(OnStage):
+    """What the second deployment's routers say beyond the older page: CANCEL, limit and second."""
+
+    def test_a_cancel_stops_waiting_and_the_connection_goes_on(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["busca"].held = True
+        router = stage.router()
+        gone = router.call("busca")
+        stage.spin(lambda: len(stage.pool.spawned) == 1)
+        router.cancel(gone)
+        after = router.call("miniatura")
+        stage.spin(lambda: after in router.answers)
+        stage.spin(lambda: stage.node.core.counters["suspended"] == 1)  # a safe run nobody waits for is stopped
+        stage.pool.release("busca")
+        stage.spin_for(0.05)
+        self.assertEqual((router.answers[after][0], gone in router.answers, router.closed), ("RESULT", False, False))
+        self.assertEqual((stage.node.core.counters["cancels"], stage.node.core.counters["bad_frames"]), (1, 0))
+        self.assertEqual(stage.tally.faults(), [])
+
+    def test_a_cancel_that_crossed_its_answer_gets_nothing(self) -> None:
+        stage = self.stage()
+        router = stage.router()
+        done = router.call("busca")
+        stage.settle()
+        router.cancel(done)
+        router.cancel(999)  # a tag that never came
+        after = router.call("busca")
+        stage.settle()
+        self.assertEqual(router.order, [done, after])
+        self.assertEqual(stage.node.core.counters["cancels_after_answer"], 2)
+        self.assertEqual(stage.tally.faults(), [])
+
+    def test_a_limit_brings_the_due_time_forward(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["busca"].held = True
+        router = stage.router()
+        short, plain = router.call("busca", limit="400"), router.call("busca")
+        stage.spin(lambda: len(stage.node.core.records) == 2)
+        came = {r.inc.tag: (r.due - r.inc.came) // 1000 for r in stage.node.core.records.values()}
+        self.assertEqual(came, {short: 400, plain: 3000})  # ms from door: the router's wait, else the deadline
+        stage.spin(lambda: short in router.answers)
+        self.assertNotEqual(router.answers[short][0], "RESULT")
+        self.assertNotIn(plain, router.answers)
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual(stage.tally.faults(), [])
+
+    def test_a_marked_try_reaches_the_brain_as_a_retry(self) -> None:
+        stage = self.stage()
+        stage.pool.plans["busca"].held = True
+        router = stage.router()
+        tags = {router.call("busca", second="1"): True, router.call("busca"): False}
+        stage.spin(lambda: len(stage.node.core.records) == 2)
+        core = stage.node.core
+        marks = {r.inc.tag: core._arrival(r).retry for r in core.records.values()}
+        self.assertEqual(marks, tags)
+        stage.pool.release("busca")
+        stage.settle()
+
+
 class Drain(OnStage):
     def test_the_notice_to_leave(self) -> None:
         stage = self.stage(stop_ms=2500)
