Tell routers a weight that follows the node's own speed, not only while it is full

The faulty lines: Policy.advertise in brain.py, the bias branch (1.0 unless full).

The change: two running sums of work and run time over the last dozen runs; the weight is their ratio, capped at 1 and by the crowd where full. A cold start begins at its stated share of speed.

--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -57,6 +57,7 @@
         }
         self.mean = [lane.aim * FIRST_WORK for lane in s.lanes]
         self.slow = 1.0 / s.cold_from if s.fresh_start else 1.0
+        self.done, self.taken = 1.0, self.slow  # work and run time of the last dozen runs: the server's speed
         self.calls_of = [0.0] * len(s.lanes)  # calls that a run of the class makes
         self.call_time = 0.0  # from its coming to a call until the reply
         self.gap = self.cpu = self.lag = 0.0
@@ -106,6 +107,8 @@
     def learn(self, j: Job, took: float) -> None:
         took = max(took, 0.001)
         self.slow += LEARN * (took / j.base - self.slow)
+        self.done += LEARN * (j.base - self.done)
+        self.taken += LEARN * (took - self.taken)
         # Unhinted, the mean follows run times and `slow` returns to 1: others' bad luck starves no class.
         self.mean[j.lane] += LEARN / 4 * ((j.base if j.hinted else took) - self.mean[j.lane])
         if self.last_end >= 0 and self.jobs.begun + 1 >= self.cap:
@@ -516,7 +519,8 @@
             value = self.cap * (1 + BOUND * self.aim / max(run, 1.0)) / max(1, self.s.callers)
             value = value if full else max(1.0, value)  # a part of one would pass over a free server
         elif self.s.advice is api.Advice.BIAS:
-            value = min(1.0, self.s.cores / max(1, len(self.jobs))) if full else 1.0
+            crowd = self.s.cores / max(1, len(self.jobs)) if full else 1.0
+            value = min(1.0, self.done / self.taken, crowd)  # a slow server asks for a smaller share
         if abs(value - self.told) > 0.1 * max(self.told, 0.1):
             self.told = value
             self.out.append(api.Advertise(value))
