Move how long idle connections are kept out of the decision module, into limits/

The change: lemonway/limits/idle.py holds the rate of arrivals, the time they lie unread and the keep-alive chosen from them, as the module had it; the module hands it the time and each arrival's age and sends what it says.

--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -10,6 +10,7 @@
 
 from . import interface as api
 from .interface import Action, Arrival, Effect, Halt, Outcome
+from .limits.idle import Idle
 from .state.expiring import Expiring
 from .state.inhand import InHand, Job
 from .state.recent import Recent
@@ -33,12 +34,8 @@
 AGED = 0.03  # steps, as a share of a class's deadline, in which waits are told apart
 USUAL = 0.2  # share of the arrivals from which a wait is a usual one: callers have a few habits
 MARGIN = 1.5  # a held request's run time is stretched so where no hint tells it: half of all take longer
-LAG = 0.15  # share of the shortest aim that requests lie unread from which reading itself is drowned
-IDLE_SHARE = 0.25  # share of the callers' idle time that unused connections are kept, if callers return in it
-IDLE_LEAST = 10.0  # ms, the shortest time to keep one that the wire allows: "close it at once"
 CALL_LOST = 2.0  # times the longest of late (FORGET_MIX a call) from which a call is taken to be lost
 CALL_PART = 0.5  # share of an aim that a call for a request of the tier above may take
-RATE_SPAN = 5000.0  # ms over which the rate of arrivals is learned: a few dozen even at a few a second
 MANY = 32  # held requests up to which all are planned anew in every step: that costs a tenth of a millisecond
 AGES, RATES = attrgetter("came", "id"), attrgetter("rate")
 
@@ -60,7 +57,7 @@
         self.done, self.taken = 1.0, self.slow  # work and run time of the last dozen runs: the server's speed
         self.calls_of = [0.0] * len(s.lanes)  # calls that a run of the class makes
         self.call_time = 0.0  # from its coming to a call until the reply
-        self.gap = self.cpu = self.lag = 0.0
+        self.gap = self.cpu = 0.0
         self.last_end = -1.0
         self.usual = Recent(int(1.0 / AGED) + 3, FORGET_MIX)  # arrivals by wait, in steps of AGED
         self.tried = self.refused = 0.0
@@ -71,8 +68,8 @@
         self.order, self.fresh, self.free = Standing(), list[Job](), 0  # free: cores, within a plan
         self.outlook = (False, 1.0, 0.0)  # full, slowness and the time of a call, within a plan
         self.cap = float(s.cores)
-        self.told = self.kept = self.storm = -1.0
-        self.rate, self.rate_at = 0.0, 0.0  # arrivals a millisecond
+        self.told = -1.0
+        self.idle = Idle(s.caller_idle, s.callers, self.aim)
         self.ran_keys = Expiring()  # ids of tries that ran, until they no longer matter
         self.entries = Expiring()  # ids with an entry in the table
         self.heirs: dict[int, int] = {}  # id of a held try: the newer one that took its place
@@ -165,9 +162,7 @@
     def arrive(self, e: Arrival) -> None:
         s, lane = self.s, self.s.lanes[e.lane]
         came = self.now - e.age
-        self.lag += LEARN * (e.age - self.lag)
-        self.rate += 1.0 / RATE_SPAN - min(1.0, (self.now - self.rate_at) / RATE_SPAN) * self.rate
-        self.rate_at = self.now
+        self.idle.arrived(self.now, e.age)
         base = max(e.work, 0.001) if e.work is not None else self.mean[e.lane]
         due = self.now + e.remaining if e.remaining is not None else max(came + lane.deadline, self.now)
         reach = min(self.part * (lane.aim + lane.aim_stretch * base), lane.deadline)
@@ -496,16 +491,7 @@
         self.out.append(api.SetHealth(False, True))
 
     def connections(self) -> None:
-        """Keep idle connections only while the mean caller returns within the time kept: guards against a
-        table full of rare callers. Drowned in unread requests it keeps all: opening anew is what drowns it, a
-        full table turns strangers back unseen. Harm: busy callers among many idle ones open anew."""
-        keep = max(IDLE_LEAST, self.s.caller_idle * IDLE_SHARE)
-        if self.lag > LAG * self.aim:
-            self.storm = self.now + self.s.caller_idle
-        ttl = keep if self.rate * keep > self.s.callers else IDLE_LEAST
-        ttl = max(keep, self.s.caller_idle) if self.now < self.storm else ttl
-        if self.s.caller_idle > 0 and ttl != self.kept:
-            self.kept = ttl
+        if (ttl := self.idle.renewed(self.now)) is not None:
             self.out.append(api.KeepAlive(ttl))
 
     def advertise(self) -> None:
--- a/tests/test_dsrt.py
+++ b/tests/test_dsrt.py
@@ -140,5 +140,5 @@
     got: list[Refuse] = []
     for n in range(1, 60):
         got += refusals(policy.step(n * 1.0, [Arrival(n, remaining=3000.0, work=400.0, age=600.0)]))
-    assert policy.lag > 500.0 and len(got) > 20
+    assert policy.idle.lag > 500.0 and len(got) > 20
     assert all(r.retry_after == 0 for r in got)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -19,15 +19,15 @@
 
 
 def test_the_module_imports_only_the_standard_library_the_interface_and_its_state() -> None:
-    """And its state no more than it does."""
-    state = [path.read_text() for path in (ROOT / "lemonway" / "state").glob("*.py")]
-    assert len(state) > 2
+    """And its state and the decisions it hands over no more than it does."""
+    state = [path.read_text() for part in ("state", "limits") for path in (ROOT / "lemonway" / part).glob("*.py")]
+    assert len(state) > 3
     for node in [node for text in (LOGIC, *state) for node in ast.walk(ast.parse(text))]:
         if isinstance(node, ast.Import):
             assert all(name.name.split(".")[0] in sys.stdlib_module_names for name in node.names)
         if isinstance(node, ast.ImportFrom):
             if node.level:
-                known = node.module is not None and node.module.split(".")[0] in ("interface", "state", "inhand")
+                known = node.module is not None and node.module.split(".")[0] in ("interface", "state", "inhand", "limits")
                 assert known or [name.name for name in node.names] == ["interface"]
             else:
                 assert str(node.module).split(".")[0] in sys.stdlib_module_names
