Let the weight told to routers fall while runs overstay, before any of them ends

The faulty lines: the bias branch of Policy.advertise in brain.py, which left out runs in hand. The change: the weight is the least of the last runs' speed, one over the slowness with runs in hand, and the crowd where full.

--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -85,8 +85,12 @@
             self.out.append(api.SetHealth(True, True))  # answered from store: deep checks cost work
         for e in events:
             self.on[type(e)](e)
-        for act in (self.overdue, self.calls, self.plan, self.connections, self.advertise, self.timer):
-            act()
+        self.overdue()
+        self.calls()
+        self.plan()
+        self.idle.renew(self.now, self.out)
+        self.advertise()
+        self.timer()
         return self.out
 
     def slowness(self) -> float:
@@ -490,10 +494,6 @@
         self.grace_end, self.kill = self.now + self.s.drain_grace, self.now + e.remaining
         self.out.append(api.SetHealth(False, True))
 
-    def connections(self) -> None:
-        if (ttl := self.idle.renewed(self.now)) is not None:
-            self.out.append(api.KeepAlive(ttl))
-
     def advertise(self) -> None:
         """The free value: outstanding requests for each caller, or a chance, by what fits the aim."""
         if self.s.advice is api.Advice.OFF:
@@ -506,7 +506,8 @@
             value = value if full else max(1.0, value)  # a part of one would pass over a free server
         elif self.s.advice is api.Advice.BIAS:
             crowd = self.s.cores / max(1, len(self.jobs)) if full else 1.0
-            value = min(1.0, self.done / self.taken, crowd)  # a slow server asks for a smaller share
+            # A slow server asks for less: by its last runs, and by those that overstay before they end.
+            value = min(1.0, self.done / self.taken, 1.0 / self.slowness(), crowd)
         if abs(value - self.told) > 0.1 * max(self.told, 0.1):
             self.told = value
             self.out.append(api.Advertise(value))
--- a/lemonway/limits/idle.py
+++ b/lemonway/limits/idle.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from ..interface import Action, KeepAlive
+
 LEARN = 0.15  # weight of the newest arrival in the time that requests lie unread: about the last dozen count
 SHARE = 0.25  # share of the callers' idle time that unused connections are kept, if callers return in it
 LEAST = 10.0  # ms, the shortest time to keep one that the wire allows: "close it at once"
@@ -32,14 +34,13 @@
         self.rate += 1.0 / RATE_SPAN - min(1.0, (now - self.rate_at) / RATE_SPAN) * self.rate
         self.rate_at = now
 
-    def renewed(self, now: float) -> float | None:
-        """The time to keep idle connections where it is to change, else None."""
+    def renew(self, now: float, out: list[Action]) -> None:
+        """Say the time to keep idle connections where it is to change."""
         keep = max(LEAST, self.caller_idle * SHARE)
         if self.lag > LAG * self.aim:
             self.storm = now + self.caller_idle
         ttl = keep if self.rate * keep > self.callers else LEAST
         ttl = max(keep, self.caller_idle) if now < self.storm else ttl
-        if self.caller_idle <= 0 or ttl == self.kept:
-            return None
-        self.kept = ttl
-        return ttl
+        if self.caller_idle > 0 and ttl != self.kept:
+            self.kept = ttl
+            out.append(KeepAlive(ttl))
--- a/tests/test_second_site.py
+++ b/tests/test_second_site.py
@@ -24,6 +24,16 @@
                     said += [a.value for a in actions if isinstance(a, Advertise)]
                 self.assertAlmostEqual(said[-1], told, delta=0.1 * told)
 
+    def test_the_weight_falls_while_runs_overstay_before_any_of_them_ends(self) -> None:
+        """A node struck slow learned nothing until its runs ended, seconds late, and was sent as much as before."""
+        policy = Policy(Settings(cores=2, advice=Advice.BIAS, meters=METERS), 1)
+        for n in range(1, 20):
+            policy.step(100.0 * n, [Arrival(n, work=100.0)])
+            policy.step(100.0 * n + 100.0, [Finished(n, 100.0, Outcome.OK)])
+        policy.step(3000.0, [Arrival(20, work=100.0), Arrival(21, work=100.0)])
+        said = [a.value for a in policy.step(4500.0, []) if isinstance(a, Advertise)]
+        self.assertLess(said[-1], 0.3)  # fifteen times their work and still running
+
 
 if __name__ == "__main__":
     unittest.main()
