Name the file as well as the key when a configuration can't be read

What was seen: a bad value in EDGE_CONFIG or in the uwsgi file ended the node with one line naming the key (settings.lanes.1.aim, listen) but not the file it was in; the rule for bad configuration asks for both.

Tests: the process-level case now wants the path, and the table of named keys holds an unknown effect and an unknown meaning of the free value, as the second deployment's settings could carry.

--- a/lemonway/net/program/config.py
+++ b/lemonway/net/program/config.py
@@ -98,4 +98,7 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"EDGE_CONFIG: {path}: not JSON: {error}") from None
-    return read_config(raw, environ)
+    try:
+        return read_config(raw, environ)
+    except ConfigError as error:  # the key, and the file it is in
+        raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
--- a/lemonway/net/program/uwsgi_site.py
+++ b/lemonway/net/program/uwsgi_site.py
@@ -85,4 +85,7 @@
         raise ConfigError(f"--uwsgi: {path}: {error.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"--uwsgi: {path}: not TOML: {error}") from None
-    return read_site(raw, settings)
+    try:
+        return read_site(raw, settings)
+    except ConfigError as error:
+        raise ConfigError(f"--uwsgi: {path}: {error}") from None
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -262,9 +262,11 @@
                 with self.assertRaises(ConfigError) as caught:
                     read_config(CONFIG | {key: value}, {})
                 self.assertTrue(str(caught.exception).startswith(key))
-        deep = site_settings()
+        deep, odd = site_settings(), site_settings(say="loudly")
         deep["lanes"][1]["aim"] = "soon"
-        for settings, named in [(deep, "lanes.1.aim"), ({"familyInfo": {"cores": 0}}, "cores")]:
+        odd["lanes"][1]["effect"] = "sometimes"
+        for settings, named in [(deep, "lanes.1.aim"), ({"familyInfo": {"cores": 0}}, "cores"),
+                                (odd, "lanes.1.effect"), (site_settings(say="loudly"), "familyInfo.say")]:
             with self.assertRaisesRegex(ConfigError, named):
                 read_config(CONFIG | {"settings": settings}, {})
 
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -490,7 +490,7 @@
         process = self.start({"name": "n1", "listen": "nowhere", "pool": "127.0.0.1:1", "settings": {}})
         _, text = process.communicate(timeout=10)
         self.assertEqual((process.returncode, text.count("\n")), (2, 1))
-        self.assertTrue(re.match(r"lemonway: listen: 'nowhere'", text))
+        self.assertTrue(re.match(r"lemonway: EDGE_CONFIG: \S+\.json: listen: 'nowhere'", text), text)
 
     def test_an_address_in_use_is_one_line_and_exit_2(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as taken:
