Show that run is one process ended by exec, with one thread and no child

A test now starts the node as the platform does, answers a check, and finds one task and no child in /proc; it also holds run to one exec'd command. The start line names the port the system gave, so that a node told port 0 can be found.

--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -241,7 +241,8 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
-    log.info("%s listens on %s:%d, pid %d", config.name, config.listen.host, config.listen.port, os.getpid())
+    bound = node.ports[0].getHost()  # the port the system gave, where the configuration said 0
+    log.info("%s listens on %s:%d, pid %d", config.name, bound.host, bound.port, os.getpid())
     loop.run(installSignalHandlers=False)
     node.print_counters()
     return 0
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -12,6 +12,7 @@
 import tempfile
 import unittest
 import unittest.mock
+from pathlib import Path
 from dataclasses import replace
 from typing import Any
 
@@ -501,5 +502,27 @@
         self.assertTrue(text.startswith(f"lemonway: listen: {listen}"), text)
 
 
+class Platform(unittest.TestCase):
+    """What the standing test's platform allows: one process, ended by exec, no thread beside the loop, no child."""
+
+    start = Program.start
+
+    def test_run_is_one_process_with_one_thread_and_no_child(self) -> None:
+        deploy = (Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text()
+        self.assertRegex(deploy, r'(?m)^run = "exec [^";&|]+"$')
+        process = self.start({"name": "n1", "listen": "127.0.0.1:0", "pool": "127.0.0.1:1", "settings": site_settings()})
+        assert process.stderr is not None
+        line = process.stderr.readline()
+        port = int(re.search(r"listens on 127\.0\.0\.1:(\d+)", line).group(1))  # type: ignore[union-attr]
+        with socket.create_connection(("127.0.0.1", port), timeout=5) as router:
+            router.sendall(b"*3\r\n$5\r\nCHECK\r\n$1\r\n1\r\n$7\r\nprobe=0\r\n")
+            self.assertIn(b"READY", router.recv(100))  # UNREADY: no pool has come up
+            tasks = os.listdir(f"/proc/{process.pid}/task")
+            children = [open(f"/proc/{process.pid}/task/{task}/children").read().split() for task in tasks]
+        self.assertEqual((len(tasks), sum(children, [])), (1, []))
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(timeout=10), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
