--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -12,8 +12,8 @@
 import tempfile
 import unittest
 import unittest.mock
-from pathlib import Path
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 from lemonway.kit.stage import Stage, site_settings
