--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -510,7 +510,8 @@
     def test_run_is_one_process_with_one_thread_and_no_child(self) -> None:
         deploy = (Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text()
         self.assertRegex(deploy, r'(?m)^run = "exec [^";&|]+"$')
-        process = self.start({"name": "n1", "listen": "127.0.0.1:0", "pool": "127.0.0.1:1", "settings": site_settings()})
+        config = {"name": "n1", "listen": "127.0.0.1:0", "pool": "127.0.0.1:1", "settings": site_settings()}
+        process = self.start(config)
         assert process.stderr is not None
         line = process.stderr.readline()
         port = int(re.search(r"listens on 127\.0\.0\.1:(\d+)", line).group(1))  # type: ignore[union-attr]
