--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -458,8 +458,8 @@
         stage.node.core.counters["brain_faults"] = 0
 
 
-class Program(unittest.TestCase):
-    """The command itself, in a process of its own."""
+class Starts(unittest.TestCase):
+    """Starts the node as the platform does, from a configuration file of its own."""
 
     def start(self, config: Any, *args: str) -> subprocess.Popen[str]:
         folder = tempfile.TemporaryDirectory()
@@ -474,6 +474,11 @@
         self.addCleanup(process.kill)
         return process
 
+
+class Program(Starts):
+    """The command itself, in a process of its own."""
+
+
     def test_counters_and_a_clean_end(self) -> None:
         config = {"name": "n1", "listen": "127.0.0.1:0", "pool": "127.0.0.1:1", "stop_ms": 1000,
                   "settings": site_settings()}
@@ -502,11 +507,9 @@
         self.assertTrue(text.startswith(f"lemonway: listen: {listen}"), text)
 
 
-class Platform(unittest.TestCase):
+class Platform(Starts):
     """What the standing test's platform allows: one process, ended by exec, no thread beside the loop, no child."""
 
-    start = Program.start
-
     def test_run_is_one_process_with_one_thread_and_no_child(self) -> None:
         deploy = (Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text()
         self.assertRegex(deploy, r'(?m)^run = "exec [^";&|]+"$')
