--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -124,7 +124,8 @@
                 process.stderr.readline()
                 write(17)
                 process.send_signal(signal.SIGHUP)
-                self.assertRegex(process.stderr.readline(), r"SIGHUP: EDGE_CONFIG: \S+: pool: 17 is not HOST:PORT; the old .* kept")
+                said = process.stderr.readline()
+                self.assertRegex(said, r"SIGHUP: EDGE_CONFIG: \S+: pool: 17 is not HOST:PORT; the old .* kept")
                 write(f"127.0.0.1:{two.getsockname()[1]}")
                 process.send_signal(signal.SIGHUP)
                 with two.accept()[0] as moved:
