--- a/lemonway/kit/stage.py
+++ b/lemonway/kit/stage.py
@@ -73,7 +73,7 @@
     def __init__(
         self, *, settings: dict[str, Any] | None = None, uwsgi: dict[str, Any] | None = None, pool_up: bool = True,
         catalogue: bool = True, stop_ms: float = 3000.0, cores: int = 6, calls: int = 0,
-        limits: dict[str, Any] | None = None,
+        limits: dict[str, Any] | None = None, admin: bool = False,
     ) -> None:
         from twisted.internet import reactor
 
@@ -88,13 +88,17 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **(limits or {})},
             "settings": settings or site_settings(),
         }
+        if admin:
+            self.raw["admin"] = "127.0.0.1:0"  # the second address (days in service)
         self.ports: list[Any] = []
         config = self.open(catalogue)
         self.settings: Settings = config.settings
         site = None if uwsgi is None else read_site(uwsgi, config.settings)
         self.node = Node(config, reactor, site)
         self.node.listen()
+        self.node.listen_admin()
         self.node.start()
+        self.admin_port: int = self.node.admin_port.getHost().port if admin else 0
         self.port: int = self.node.ports[0].getHost().port
         self.uwsgi_port: int = self.node.ports[1].getHost().port if site is not None else 0
         if pool_up:
--- a/lemonway/net/program/config.py
+++ b/lemonway/net/program/config.py
@@ -33,6 +33,8 @@
     sockets: int
     memory_mb: float
     settings: Settings
+    admin: Address | None = None  # the second address, HTTP (DAYS); None: not listened on
+    inherited_fd: int | None = None  # a listening socket that the platform holds, to serve instead of binding
 
 
 def parse_address(key: str, value: Any) -> Address:
@@ -84,9 +86,19 @@
         sockets=int(_number("limits.sockets", limits.get("sockets", 1024), 64)),
         memory_mb=_number("limits.memory_mb", limits.get("memory_mb", 192), 16),
         settings=settings,
+        admin=parse_address("admin", admin) if (admin := environ.get("EDGE_ADMIN") or raw.get("admin")) else None,
+        inherited_fd=_descriptor(environ.get("EDGE_INHERITED_FD")),
     )
 
 
+def _descriptor(value: str | None) -> int | None:
+    if not value:
+        return None
+    if not value.isascii() or not value.isdigit() or int(value) < 3:
+        raise ConfigError(f"EDGE_INHERITED_FD: {value!r} is not a descriptor number of 3 or more")
+    return int(value)
+
+
 def load_config(environ: Mapping[str, str]) -> Config:
     path = environ.get("EDGE_CONFIG")
     if not path:
--- /dev/null
+++ b/lemonway/net/program/figures.py
@@ -0,0 +1,19 @@
+"""The figures that the admin address shows, under the names of the days in service (DAYS, what the image node
+reports): by class, ``served``, ``refused``, ``failed`` and ``attempts`` (runs handed to the worker pool); and
+``in_flight``, ``reloads_ok``, ``reloads_failed``. Counts begin at 0 with the process."""
+
+from __future__ import annotations
+
+from ..protocol.admin import exposition
+from ..routing.core import Core
+
+BY_CLASS = ("served", "refused", "failed", "attempts")
+PLAIN = ("reloads_ok", "reloads_failed")
+
+
+def figures_of(core: Core) -> bytes:
+    """The text for ``GET /metrics``; it is made on each call, which the platform makes every 1 to 2 s."""
+    names = [lane.name or str(n) for n, lane in enumerate(core.settings.lanes)]
+    by_class = {figure: {name: core.by_class[figure, n] for n, name in enumerate(names)} for figure in BY_CLASS}
+    plain = {"in_flight": core.in_flight} | {figure: core.counters[figure] for figure in PLAIN}
+    return exposition(by_class, plain)
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from typing import Any
 
@@ -23,6 +24,7 @@
 from .bounds import Bounds, bounds_of
 from .config import Config, ConfigError, load_config
 from .reload import carried_over
+from .upgrade import Presence
 
 log = logging.getLogger(__name__)
 
@@ -87,17 +89,38 @@
         self.uwsgi = None if site is None else UwsgiFront(self.turns, self.core, site, self.bounds.connections)
         self.routers = RouterFactory(self.turns, self.core, self.bounds)
         self.ports: list[Any] = []
+        self.admin_port: Any = None
+        self.presence = Presence(config.name, os.environ.get("TMPDIR") or "/tmp", os.getpid())
         self.grace_until = self.stop_by = 0
         self.ended = False
 
     def listen(self) -> None:
-        self.ports.append(self.reactor.listenTCP(
-            self.config.listen.port, self.routers, backlog=512, interface=self.config.listen.host))
+        if self.config.inherited_fd is not None:
+            # The platform holds the listening socket and hands it to every process of this node: two of them serve
+            # it side by side during an upgrade, and no connection is refused between them.
+            os.set_blocking(self.config.inherited_fd, False)
+            self.ports.append(self.reactor.adoptStreamPort(self.config.inherited_fd, socket.AF_INET, self.routers))
+        else:
+            self.ports.append(self.reactor.listenTCP(
+                self.config.listen.port, self.routers, backlog=512, interface=self.config.listen.host))
         if self.uwsgi is not None:
             site = self.uwsgi.site
             self.ports.append(self.reactor.listenTCP(site.port, self.uwsgi, backlog=256, interface=site.host))
 
+    def listen_admin(self) -> None:
+        """The second address (DAYS): readiness, figures, drain. Twisted's web server is loaded only here."""
+        if self.config.admin is None:
+            return
+        from ..protocol.admin import AdminSite
+        from .figures import figures_of
+
+        site = AdminSite(self.core, lambda: figures_of(self.core), self.core.counters)
+        self.admin_port = self.reactor.listenTCP(
+            self.config.admin.port, site, backlog=64, interface=self.config.admin.host)
+
     def start(self) -> None:
+        if self.config.inherited_fd is not None:
+            self.presence.arrive()
         if self.announcer is not None:
             self.announcer.start()
         self.core.start()
@@ -124,14 +147,14 @@
         try:
             fresh = load_config(os.environ)
         except ConfigError as error:
-            self.core.counters["bad_reloads"] += 1
+            self.core.counters["reloads_failed"] += 1
             log.error("SIGHUP: %s; the old configuration is kept", error)
             return
         self.adopt(fresh)
 
     def adopt(self, fresh: Config) -> None:
         """Move each link to its new address at once. Requests, runs and the number of the last notice stay."""
-        self.core.counters["reloads"] += 1
+        self.core.counters["reloads_ok"] += 1
         self.config, kept = carried_over(self.config, fresh)
         for key in kept:
             log.warning("SIGHUP: %s: a change takes effect only at the next start", key)
@@ -177,8 +200,13 @@
         now = self.turns.clock.now
         self.grace_until = now + int(self.config.settings.drain_grace * 1000)
         self.stop_by = now + int(self.config.stop_ms * 1000)
-        self.core.drain(self.config.stop_ms)
-        self.turns.at(min(self.grace_until, self.stop_by), self.close_ports)
+        # A newer process of this node on the same listening socket takes over at once: this one stops taking
+        # connections, and the list follows the other's reports.
+        handover = self.config.inherited_fd is not None and self.presence.successor()
+        if handover:
+            self.core.counters["handovers"] += 1
+        self.core.drain(self.config.stop_ms, handover=handover)
+        self.turns.at(now if handover else min(self.grace_until, self.stop_by), self.close_ports)
 
     def close_ports(self) -> None:
         """Past the grace nothing may be run: a refused connection tells a router so at no cost."""
@@ -198,6 +226,10 @@
 
     def stop(self) -> None:
         """Let go of every socket and timer, at once."""
+        if self.admin_port is not None:
+            self.admin_port.stopListening()
+            self.admin_port = None
+        self.presence.leave()
         for port in self.ports:
             port.stopListening()
         self.ports = []
@@ -235,6 +267,14 @@
         key = "listen" if not node.ports else "uwsgi.listen"
         print(f"lemonway: {key}: {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
         return 2
+    except OSError as error:  # the inherited descriptor is no listening socket
+        print(f"lemonway: EDGE_INHERITED_FD: {config.inherited_fd}: {error.strerror}", file=sys.stderr)
+        return 2
+    try:
+        node.listen_admin()
+    except CannotListenError as error:
+        print(f"lemonway: admin: {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
+        return 2
     loop.callWhenRunning(node.start)
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     # What is loaded by now stays: a rare, short collection of what requests leave in cycles is enough.
@@ -244,5 +284,6 @@
     bound = node.ports[0].getHost()  # the port the system gave, where the configuration said 0
     log.info("%s listens on %s:%d, pid %d", config.name, bound.host, bound.port, os.getpid())
     loop.run(installSignalHandlers=False)
+    node.presence.leave()
     node.print_counters()
     return 0
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -18,6 +18,7 @@
 from ..ports import Announcer, Answer, Catalogue, Front, Incoming, Verdict, WorkerPool
 from ..transport.clock import Deadlines, Turns
 from .kept import KeptKeys
+from .readiness import Readiness
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +67,10 @@
         self.kept = KeptKeys(self.clock)
         self.fronts: dict[Front, None] = {}
         self.counters: Counter[str] = Counter()
-        self.good, self.stored, self.draining, self.linked = True, False, False, False
+        # The figures that the admin address shows by class: (word, lane) for served, refused, failed and attempts.
+        self.by_class: Counter[tuple[str, int]] = Counter()
+        self.ready = Readiness()
+        self.stored, self.draining, self.linked = False, False, False
         self.feedback: float | None = None
         self.idle_ttl = int(settings.caller_idle * 1000)
         self._last = 0
@@ -151,9 +155,23 @@
             return
         front.checked(tag, self.healthy, self.feedback)
 
+    @property
+    def good(self) -> bool:
+        """The decision module's own word on its health."""
+        return self.ready.good
+
+    @good.setter
+    def good(self, value: bool) -> None:
+        self.ready.good = value
+
     @property
     def healthy(self) -> bool:
-        return self.good and not self.draining and self.policy is not None
+        return self.ready.takes_work
+
+    @property
+    def in_flight(self) -> int:
+        """Requests taken and not yet answered."""
+        return sum(not r.answered for r in self.records.values())
 
     # what the pool says
 
@@ -162,6 +180,7 @@
         self.linked, self._bound_at = True, self._said
         if self.policy is None:
             self.policy = Policy(replace(self.settings, fresh_start=fresh), self.seed)
+            self.ready.serving = True
             self._apply(self.policy.step((self.clock.now - age) / 1000, []))
             self.announcer.announce(self.healthy)
 
@@ -278,17 +297,33 @@
 
     # what the program says
 
-    def drain(self, stop_ms: float) -> None:
+    def drain(self, stop_ms: float, handover: bool = False) -> None:
+        """Leave within ``stop_ms``. With ``handover`` another process of this node goes on serving on the same
+        listening socket: the list is left to its reports."""
         if self.draining:
             return
-        self.draining = True
-        self.announcer.announce(False)
+        self.draining = self.ready.leaving = True
+        self.ready.handover = handover
+        if not handover:
+            self.announcer.announce(False)
         for front in list(self.fronts):
             front.drain()
         # The brain answers everything before what it takes for the kill; the margin guards against the sweep
         # that falls just short of it and against a slow last write.
         self._inbox.append(api.Drain(max(0.0, stop_ms - STOP_MARGIN)))
 
+    def hold(self) -> None:
+        """An operator's drain: health checks and reports say no work is taken; what still comes is served."""
+        if self.ready.hold():
+            self.counters["drains"] += 1
+            self.report()
+
+    def release(self) -> None:
+        """The end of an operator's drain: work is taken again from the next health check on."""
+        if self.ready.release():
+            self.counters["undrains"] += 1
+            self.report()
+
     @property
     def idle(self) -> bool:
         return not any(not r.answered for r in self.records.values())
@@ -358,7 +393,7 @@
         self.report()
 
     def report(self) -> None:
-        if self.policy is not None:
+        if self.policy is not None and self.ready.reports:
             self.announcer.announce(self.healthy)
 
     # the brain's actions
@@ -381,6 +416,7 @@
             self.kept.ran(inc.lane, inc.unique, record.ident, until, inc.body)
         record.running = True
         self.counters["spawned"] += 1
+        self.by_class["attempts", inc.lane] += 1
         self._spawn(record)
 
     def _refuse(self, a: api.Refuse) -> None:
@@ -440,7 +476,7 @@
     def _set_health(self, a: api.SetHealth) -> None:
         changed, self.good, self.stored = a.good != self.good, a.good, a.stored
         if changed:
-            self.announcer.announce(self.healthy)
+            self.report()
 
     def _advertise(self, a: api.Advertise) -> None:
         self.feedback = a.value
@@ -489,6 +525,7 @@
 
     def _send(self, inc: Incoming, answer: Answer) -> None:
         self.counters[answer.verdict.value] += 1
+        self.by_class[answer.verdict.value, inc.lane] += 1
         answer.feedback = self.feedback
         inc.front.answer(inc.tag, answer)
 
--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -84,7 +84,7 @@
 class DeafToDrain(Core):
     """Takes no notice of the notice: it goes on serving until it is stopped."""
 
-    def drain(self, stop_ms: float) -> None:
+    def drain(self, stop_ms: float, handover: bool = False) -> None:
         self.counters["drains"] += 1
 
 
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -134,7 +134,7 @@
             process.send_signal(signal.SIGTERM)
             _, rest = process.communicate(timeout=10)
             self.assertEqual(process.returncode, 0)
-            self.assertRegex(rest, "counters .*bad_reloads=1 .*reloads=1")
+            self.assertRegex(rest, "counters .*reloads_failed=1 .*reloads_ok=1")
 
 
 class PoolLink(OnStage):
