--- a/lemonway/replication/claims.py
+++ b/lemonway/replication/claims.py
@@ -86,7 +86,17 @@
     sender: str
 
 
-Message = Prepare | Promise | Accept | Accepted | Nack | Chosen
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What the run of the chosen claim ``value`` gave, spread to the key's group after the run."""
+
+    key: str
+    value: Claim
+    body: bytes
+    sender: str
+
+
+Message = Prepare | Promise | Accept | Accepted | Nack | Chosen | Result
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +143,7 @@
     accepted: Ballot = NO_BALLOT
     value: Claim | None = None
     chosen: Claim | None = None
+    result: bytes | None = None  # the chosen claim's result, once its node has spread it
     fast_used: bool = False  # this node used round 0 for the key in this life
 
 
@@ -201,7 +212,32 @@
         register = self.registers.get(key)
         return None if register is None else register.chosen
 
+    def publish(self, key: str, value: Claim, body: bytes) -> list[Out]:
+        """The run of this node's chosen claim ended with ``body``: keep it and spread it to the key's group."""
+        self._on_result(Result(key, value, body, self.name))
+        return [Send(peer, Result(key, value, body, self.name)) for peer in self.placement.group(key)
+                if peer != self.name]
+
+    def repeat(self, key: str, digest: str) -> str:
+        """What a try of ``key`` whose body has ``digest`` gets here, by the one rule for copies that differ:
+        ``serve`` the result that the chosen claim's run gave; ``conflict`` if the chosen claim's body differs (the try
+        fails, never runs); ``wait`` if a claim is chosen but no result has come (the try never ran: refuse it);
+        ``claim`` if nothing is chosen that this copy knows of."""
+        register = self.registers.get(key)
+        if register is None or register.chosen is None:
+            return "claim"
+        if register.chosen.digest != digest:
+            return "conflict"
+        return "serve" if register.result is not None else "wait"
+
+    def result(self, key: str) -> bytes | None:
+        register = self.registers.get(key)
+        return None if register is None else register.result
+
     def receive(self, message: Message, now: int) -> list[Out]:
+        if isinstance(message, Result):
+            self._on_result(message)
+            return []
         if isinstance(message, Prepare):
             return self._on_prepare(message, now)
         if isinstance(message, Accept):
@@ -267,6 +303,18 @@
             return [self._decided(m.key, m.value)]
         return []
 
+    def _on_result(self, m: Result) -> None:
+        """A result beats a bare claim; a result of a claim that is not the one chosen is dropped and counted. Only
+        the node whose claim won publishes, so a result also tells which claim was chosen."""
+        register = self._register(m.key, m.value.until)
+        if register.chosen is not None and register.chosen != m.value:
+            self._count("results_dropped")
+            return
+        self._learn(m.key, m.value)
+        if register.result is None:
+            register.result = m.body
+            self._count("results_kept")
+
     def _learn(self, key: str, value: Claim) -> None:
         register = self._register(key, value.until)
         if register.chosen is not None and register.chosen != value:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 from lemonway.kit.emulator.claims_day import Faults, check, play, run_seeds
-from lemonway.replication.claims import Accept, Accepted, Claim, Claims, Lost, Send, Won
+from lemonway.replication.claims import Accept, Accepted, Claim, Claims, Lost, Result, Send, Won
 from lemonway.replication.placement import Placement
 
 
@@ -66,6 +66,18 @@
         answer = self.nodes[self.home].receive(forged, 0)
         self.assertNotIsInstance(answer[0].message, Accepted)  # type: ignore[union-attr]
 
+    def test_a_result_beats_a_bare_claim_and_only_the_chosen_ones_counts(self) -> None:
+        home = self.nodes[self.home]
+        deliver(self.nodes, home.claim("k", self.claim(self.home), 0))
+        other = self.nodes[self.other]
+        self.assertEqual(other.repeat("k", "digest"), "wait", "chosen, no result yet: this try is refused")
+        stranger = Result("k", self.claim(self.other), b"not it", self.other)
+        other.receive(stranger, 1)
+        self.assertEqual((other.result("k"), other.counters["results_dropped"]), (None, 1))
+        deliver(self.nodes, home.publish("k", self.claim(self.home), b"made"))
+        self.assertEqual((other.repeat("k", "digest"), other.result("k")), ("serve", b"made"))
+        self.assertEqual(other.repeat("k", "another body"), "conflict", "a try with another body fails, never runs")
+
     def test_a_node_that_lost_its_memory_abstains(self) -> None:
         fresh = Claims(self.home, "2", self.placement, abstain_until=1_000)
         self.assertEqual(fresh.receive(Accept("k", (0, self.home), self.claim(self.home), self.home), 10), [])
