--- a/lemonway/kit/stage.py
+++ b/lemonway/kit/stage.py
@@ -11,6 +11,7 @@
 from ..interface import Settings
 from ..net.program.config import Config, read_config
 from ..net.program.node import Node
+from ..net.program.own import Own
 from ..net.program.uwsgi_site import read_site
 from .acervo import StandInAcervo
 from .clients import RouterClient, UwsgiClient
@@ -73,8 +74,9 @@
     def __init__(
         self, *, settings: dict[str, Any] | None = None, uwsgi: dict[str, Any] | None = None, pool_up: bool = True,
         catalogue: bool = True, stop_ms: float = 3000.0, cores: int = 6, calls: int = 0,
-        limits: dict[str, Any] | None = None, admin: bool = False,
+        limits: dict[str, Any] | None = None, admin: bool = False, own: Own | None = None,
     ) -> None:
+        """``own``: the node's own settings."""
         from twisted.internet import reactor
 
         self.reactor: Any = reactor
@@ -94,7 +96,7 @@
         config = self.open(catalogue)
         self.settings: Settings = config.settings
         site = None if uwsgi is None else read_site(uwsgi, config.settings)
-        self.node = Node(config, reactor, site)
+        self.node = Node(config, reactor, site, own=own)
         self.node.listen()
         self.node.listen_admin()
         self.node.start()
--- a/lemonway/net/program/bounds.py
+++ b/lemonway/net/program/bounds.py
@@ -28,13 +28,14 @@
     return SOCKETS_MOST if soft == resource.RLIM_INFINITY else min(SOCKETS_MOST, soft)
 
 
-def bounds_of(sockets: int, memory_mb: float) -> Bounds:
-    """Routers may open half of the descriptors; the catalogue gets a fifth, and a tenth stays free for bursts."""
+def bounds_of(sockets: int, memory_mb: float, admin: int = 0) -> Bounds:
+    """Routers may open half of the descriptors; the catalogue gets a fifth, and a tenth stays free for bursts.
+    ``admin``: connections of the admin address, if there is one. What is set aside here no client can take."""
     calls = min(192, max(12, sockets // 5))
     surplus = min(32, sockets // 10)
     free = max(4.0, memory_mb - PROGRAM_MB) * MB
     return Bounds(
-        connections=max(8, sockets - FILES - calls - surplus),
+        connections=max(8, sockets - FILES - calls - surplus - admin),
         surplus=surplus,
         calls=calls,
         requests=min(4096, int(free * 0.3) // REQUEST_BYTES),
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import json
 import logging
@@ -9,6 +10,9 @@
 import signal
 import socket
 import sys
+import time
+from collections.abc import Callable
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import CannotListenError
@@ -16,33 +20,37 @@
 from twisted.internet.protocol import ServerFactory
 
 from ...interface import Settings
+from ...limits.ramp import Ramp
 from ...settings import merged
 from ..protocol.announce import AnnounceClient
 from ..protocol.catalogue import CatalogueClient
 from ..protocol.pool import PoolLink
 from ..protocol.resp import Names, RouterConnection
-from ..protocol.uwsgi import Site, UwsgiFront
 from ..routing.core import Core
-from ..routing.shared import SharedKeys
 from ..transport.clock import Clock, Turns
 from ..transport.connection import Connection
 from ..transport.port import RoomyPort
 from .bounds import Bounds, bounds_of, descriptors
 from .config import Address, Config, ConfigError, load_config
 from .hold import HELD
-from .keyfiles import KeyFiles
+from .own import Own, cold_tier, load_own
 from .reload import carried_over
 from .upgrade import Presence
 
 if TYPE_CHECKING:
+    from ..protocol.uwsgi import Site, UwsgiFront
+    from ..routing.shared import SharedKeys
     from .policy import Governing
     from .replication import Replicating
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 512  # connections that wait to be taken in
+ADMIN_MOST = 32  # connections of the admin address (``protocol.admin.OPEN_MOST``)
 SWEEP = 500_000  # between looks for idle connections
 END_WAIT = 50_000  # between looks, once draining, whether all is answered and closed
+PORT_WAIT = 5.0  # s for which a start waits for a predecessor that still holds the port
+PORT_LOOK = 0.01  # s between tries
 LAST = 50_000  # before the kill: by then the program has ended by itself
 
 
@@ -73,15 +81,18 @@
             self.shed()
         return RouterConnection(self.turns, self.core, self.names)
 
-    def shed(self) -> bool:
-        """Guards the routers against strangers who open connections and say nothing, or half a line."""
-        spare = [(rank, n, front) for n, front in enumerate(self.core.fronts)
-                 if isinstance(front, RouterConnection) and (rank := front.spare())]
-        if not spare:
-            return False
-        self.core.counters["connections_shed"] += 1
-        min(spare)[2].make_room()
-        return True
+    def shed(self, most: int = 1) -> int:
+        """Guards the routers against strangers who open connections and say nothing, or half a line. Gives how many
+        were told to go."""
+        fronts = [front for front in self.core.fronts if isinstance(front, RouterConnection)]
+        for front in fronts:
+            if front.lingers_for_nothing():
+                front.abort()
+        spare = sorted((rank, n) for n, front in enumerate(fronts) if (rank := front.spare()))[:most]
+        for _, n in spare:
+            self.core.counters["connections_shed"] += 1
+            fronts[n].make_room()
+        return len(spare)
 
 
 def listen_for(factory: RouterFactory, at: Address, reactor: Any, counters: Any) -> Any:
@@ -93,30 +104,45 @@
     return port
 
 
+def draws(seed: int) -> Callable[[], float]:
+    """Numbers of the exponential distribution of mean 1, the same for the same seed."""
+    source = Random(seed)
+    return lambda: source.expovariate(1.0)
+
+
 class Node:
     def __init__(self, config: Config, reactor: Any, site: Site | None = None, clock: Clock | None = None,
-                 replication: str | None = None, policy: str | None = None) -> None:
-        """``replication``: the file that has this node share its keys with others; ``policy``: the one that makes its
-        policy the fleet's. Raises ``ConfigError`` for them."""
+                 replication: str | None = None, policy: str | None = None, own: Own | None = None,
+                 own_path: str | None = None) -> None:
+        """``own``: the node's own settings, read again from ``own_path`` at SIGHUP. ``replication``: the file that has
+        this node share its keys with others; ``policy``: the one that makes its policy the fleet's. Raises
+        ``ConfigError`` for them."""
         self.config, self.reactor = config, reactor
         self.turns = Turns(reactor, clock or Clock())
-        self.bounds = bounds_of(min(config.sockets, descriptors()), config.memory_mb)
+        self.bounds = bounds_of(min(config.sockets, descriptors()), config.memory_mb,
+                                0 if config.admin is None else ADMIN_MOST)
         self.core = Core(
             config.settings, config.seed, self.turns, self.bounds.requests, self.bounds.kept_bytes)
         self.pool = PoolLink(
             self.turns, self.core, config.pool.host, config.pool.port, self.bounds.pool_bytes)
         self.core.pool = self.pool
+        self.own, self.own_path = own or Own(), own_path
+        self.ramp = self._new_ramp(config.settings)
         self.catalogue: CatalogueClient | None = None
         if config.catalogue is not None:
             self.catalogue = self.core.catalogue = CatalogueClient(
-                self.turns, self.core, config.catalogue.host, config.catalogue.port, self.bounds.calls)
+                self.turns, self.core, config.catalogue.host, config.catalogue.port, self.bounds.calls, ramp=self.ramp)
         self.announcer: AnnounceClient | None = None
         self.core.announcer = _Silent()
         if config.announce is not None:
             self.announcer = AnnounceClient(reactor, config.name, config.announce.host, config.announce.port)
             self.core.announcer = self.announcer
         # Both fronts' connections count; the uwsgi front has a bound of its own, so the routers keep the rest.
-        self.uwsgi = None if site is None else UwsgiFront(self.turns, self.core, site, self.bounds.connections)
+        self.uwsgi: UwsgiFront | None = None
+        if site is not None:
+            from ..protocol.uwsgi import UwsgiFront
+
+            self.uwsgi = UwsgiFront(self.turns, self.core, site, self.bounds.connections)
         self.routers = RouterFactory(self.turns, self.core, self.bounds)
         self.replicating: Replicating | None = None
         if replication is not None:
@@ -134,12 +160,29 @@
         self.presence = Presence(config.name, shared, os.getpid())
         self.sharing: SharedKeys | None = None
         if config.inherited_fd is not None and self.replicating is None:
+            from ..routing.shared import SharedKeys
+            from .keyfiles import KeyFiles
+
             longest = max((lane.memory_span for lane in config.settings.lanes), default=0.0) / 1000
             self.key_files = KeyFiles(os.path.join(shared, f"lemonway-keys-{config.name}"), os.getpid(), longest)
             self.sharing = SharedKeys(self.core, self.key_files)
         self.grace_until = self.stop_by = 0
         self.ended = False
 
+    def _new_ramp(self, settings: Settings) -> Ramp | None:
+        tier = cold_tier(self.own, settings)
+        return None if tier is None else Ramp(tier, draws(self.config.seed), self.turns.clock.now)
+
+    def _adopt_ramp(self) -> None:
+        """What was learned of the next tier stays, and new figures count from now on."""
+        tier = cold_tier(self.own, self.core.settings)
+        if tier is None or self.ramp is None:
+            self.ramp = self._new_ramp(self.core.settings)
+        else:
+            self.ramp.adopt(tier)
+        if self.catalogue is not None:
+            self.catalogue.ramp = self.ramp
+
     def listen(self) -> None:
         if self.config.inherited_fd is not None:
             # The platform holds the listening socket and hands it to every process of this node: two of them serve
@@ -202,6 +245,7 @@
         """SIGHUP: read the file again. One that makes no sense changes nothing."""
         self.turns.begin()
         try:
+            own = self.own if self.own_path is None else load_own(self.own_path)
             fresh = load_config(os.environ)
             if self.governing is not None:  # the node's own file, and what the fleet has decided on top of it
                 settings, live = self.governing.effective(fresh)
@@ -213,6 +257,7 @@
             self.core.counters["reloads_failed"] += 1
             log.error("SIGHUP: %s; the old configuration is kept", error)
             return
+        self.own = own  # the log's form and level wait for the next start
         self.adopt(fresh, settings, live)
         if self.replicating is not None:
             self.replicating.reload()
@@ -239,6 +284,7 @@
         if self.take(settings, live):
             log.info("SIGHUP: classes %s", ", ".join(settings.lanes[n].name for n in live))
         self.config, kept = carried_over(self.config, fresh)
+        self._adopt_ramp()
         for key in kept:
             log.warning("SIGHUP: %s: a change takes effect only at the next start", key)
         self.pool.readdress(self.config.pool.host, self.config.pool.port)
@@ -259,7 +305,7 @@
             self.catalogue.readdress(at.host, at.port)
         else:
             self.catalogue = self.core.catalogue = CatalogueClient(
-                self.turns, self.core, at.host, at.port, self.bounds.calls)
+                self.turns, self.core, at.host, at.port, self.bounds.calls, ramp=self.ramp)
 
     def _readdress_announcer(self) -> None:
         at = self.config.announce
@@ -307,9 +353,10 @@
         self.turns.after(END_WAIT, self.end_if_done)
 
     def close_fronts(self) -> None:
-        """All is answered by now. What is still open here would be cut by the kill."""
+        """All is to be answered by now, and what is still open here would be cut by the kill. Where an answer is owed
+        yet, it goes before the close."""
         for front in list(self.core.fronts):
-            if isinstance(front, Connection):
+            if isinstance(front, RouterConnection) and not front.owes():
                 front.close()
 
     def end_if_done(self) -> None:
@@ -360,24 +407,35 @@
               flush=True)
 
 
-def run(config: Config, site: Site | None = None, replication: str | None = None, policy: str | None = None) -> int:
+def listen_when_free(listen: Callable[[], None], begun: Callable[[], bool] = lambda: False) -> bool:
+    """Listen; where the predecessor still holds the port, as soon as it has let go. False: told to leave meanwhile."""
+    until = time.monotonic() + PORT_WAIT
+    while True:
+        if signal.sigpending() & {signal.SIGTERM, signal.SIGINT}:
+            return False
+        try:
+            listen()
+            return True
+        except CannotListenError as error:
+            taken = isinstance(error.socketError, OSError) and error.socketError.errno == errno.EADDRINUSE
+            if begun() or not taken or time.monotonic() >= until:
+                raise
+        time.sleep(PORT_LOOK)
+
+
+def run(config: Config, site: Site | None = None, replication: str | None = None, policy: str | None = None,
+        own: Own | None = None, own_path: str | None = None) -> int:
     from twisted.internet import reactor  # installs the reactor: only when the program really runs
 
     loop: Any = reactor
     try:
-        node = Node(config, loop, site, replication=replication, policy=policy)
+        node = Node(config, loop, site, replication=replication, policy=policy, own=own, own_path=own_path)
     except ConfigError as error:
         print(f"lemonway: {error}", file=sys.stderr)
         return 2
-    if signal.SIGTERM in signal.sigpending() or signal.SIGINT in signal.sigpending():
-        return 0  # told to leave before it took anything: the kill counts from then, and nothing is in hand
-    # From here on a signal waits for the loop: SIGHUP's own action would end the program.
-    for number, call in ((signal.SIGTERM, node.drain), (signal.SIGINT, node.drain), (signal.SIGHUP, node.reload),
-                         (signal.SIGUSR1, node.print_counters)):
-        signal.signal(number, lambda *_, call=call: loop.callFromThread(call))
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)
     try:
-        node.listen()
+        if not listen_when_free(node.listen, lambda: bool(node.ports)):
+            return 0  # told to leave before it took anything: the kill counts from then, and nothing is in hand
     except CannotListenError as error:
         key = "listen" if not node.ports else "uwsgi.listen"
         print(f"lemonway: {key}: {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
@@ -386,10 +444,16 @@
         print(f"lemonway: EDGE_INHERITED_FD: {config.inherited_fd}: {error.strerror}", file=sys.stderr)
         return 2
     try:
-        node.listen_admin()
+        if not listen_when_free(node.listen_admin):
+            return 0
     except CannotListenError as error:
         print(f"lemonway: admin: {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
         return 2
+    # From here on a signal waits for the loop: SIGHUP's own action would end the program.
+    for number, call in ((signal.SIGTERM, node.drain), (signal.SIGINT, node.drain), (signal.SIGHUP, node.reload),
+                         (signal.SIGUSR1, node.print_counters)):
+        signal.signal(number, lambda *_, call=call: loop.callFromThread(call))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)
     if node.replicating is not None:
         try:
             node.replicating.open()
--- a/lemonway/net/program/start.py
+++ b/lemonway/net/program/start.py
@@ -14,7 +14,6 @@
 from .config import ConfigError, load_config
 from .node import run
 from .own import Own, load_own
-from .uwsgi_site import load_site
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -33,7 +32,11 @@
         PythonLoggingObserver("twisted").start()
         logging.getLogger("twisted").setLevel(logging.WARNING)
         config = load_config(os.environ)
-        site = load_site(args.uwsgi, config.settings) if args.uwsgi else None
+        site = None
+        if args.uwsgi:  # what only other ways to start need is loaded where it is asked for
+            from .uwsgi_site import load_site
+
+            site = load_site(args.uwsgi, config.settings)
         if args.policy and not args.replication:
             raise ConfigError("--policy: needs --replication: the list of nodes and the links between them are there")
         if args.replication:
@@ -41,7 +44,7 @@
     except ConfigError as error:
         print(f"lemonway: {error}", file=sys.stderr)
         return 2
-    return run(config, site, args.replication, args.policy)
+    return run(config, site, args.replication, args.policy, own, args.settings)
 
 
 def _needs_for_replication() -> None:
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from ...interface import Outcome
+from ...limits.ramp import Ramp
 from ..ports import CallEvents
 from ..transport.clock import Deadlines, Turns
 from ..transport.connection import Connection
@@ -189,7 +190,9 @@
 
     def __init__(
         self, turns: Turns, events: CallEvents, host: str, port: int, most: int, path: str = "/fetch",
+        ramp: Ramp | None = None,
     ) -> None:
+        """``ramp``: how fast calls go while the next tier may be cold. It outlives connections and addresses."""
         self.turns, self.events, self.path, self.most = turns, events, path.encode(), most
         self.door = Door(self, host, port)
         self.idle: list[CatalogueConnection] = []
@@ -200,6 +203,8 @@
         self.queue: deque[Call] = deque()
         self.count = 0  # connections, those being opened included
         self.resting = False  # calls wait for a connection to have rested
+        self.ramp = ramp
+        self.paced: int | None = None  # when the pace lets the next call go
 
     def call(self, ident: int, txn: str, patience: int, body: bytes, once: bool) -> None:
         """``once``: what breaks this call can't be made good by another."""
@@ -211,20 +216,39 @@
         self.place()
 
     def place(self) -> None:
-        """Put waiting calls on idle connections, and open more while any wait."""
+        """Put waiting calls on idle connections, and open more while any wait that may go."""
         waiting, self.queue = self.queue, deque()
-        for call in waiting:
+        now, ramp = self.turns.clock.now, self.ramp
+        while waiting:
+            call = waiting.popleft()
             if call.over:
                 continue
+            if ramp is not None and (ramp.paced or now - ramp.last_sent > ramp.tier.warming):
+                due = ramp.due(now)
+                if due > now:
+                    waiting.appendleft(call)
+                    self._wait_for_pace(due)
+                    break
             if connection := self.rested(call.once):
                 self.used[call.ident] = connection
                 connection.start(call, connection.door.name, self.path)
+                if ramp is None:
+                    continue
+                if ramp.paced:
+                    ramp.sent(now, len(waiting) + len(self.queue))
+                else:
+                    ramp.last_sent = now
             else:
                 self.queue.append(call)
-        while self.door.opening < len(self.queue) and self.count < self.most:
+                if ramp is not None and ramp.paced:
+                    break  # one at a time: the next may not go before this one has
+        may_go = len(self.queue)
+        if waiting:
+            self.queue.extend(waiting)
+        while self.door.opening < may_go and self.count < self.most:
             self.count += 1
             self.door.open()
-        if self.door.opening < len(self.queue) and self.idle and not self.resting:
+        if self.door.opening < may_go and self.idle and not self.resting:
             self.resting = True
             self.turns.after(REST, self.woken)
             if self.idle[0].clean_at <= self.turns.clock.now:  # too long idle for what waits: a new one takes its place
@@ -234,6 +258,26 @@
         self.resting = False
         self.place()
 
+    def _wait_for_pace(self, due: int) -> None:
+        if self.paced is None or due < self.paced:
+            self.paced = due
+            self.turns.at(due, self._pace_lets_go)
+
+    def _pace_lets_go(self) -> None:
+        if self.paced is not None and self.paced <= self.turns.clock.now:
+            self.paced = None
+            self.place()
+
+    def _learn(self, good: bool) -> None:
+        """How a call that was sent, or a dial, ended."""
+        ramp = self.ramp
+        if ramp is None:
+            return
+        if good and not ramp.paced:
+            ramp.bad_run = 0
+        else:
+            ramp.ended(self.turns.clock.now, good)
+
     def rested(self, once: bool) -> CatalogueConnection | None:
         """The idle connection last used among those that have stayed clean long enough."""
         now, idle = self.turns.clock.now, self.idle
@@ -283,6 +327,8 @@
             if not call.over:
                 self.end(call, Outcome.UNREACHABLE, b"")
                 break
+        if not door.shut:
+            self._learn(False)
         self.place()
 
     def replied(self, connection: CatalogueConnection, call: Call, outcome: Outcome, body: bytes) -> None:
@@ -290,6 +336,8 @@
             connection.close()
         elif not connection.closing:
             self.idle.append(connection)
+        if self.ramp is not None:
+            self._learn(outcome is Outcome.OK)
         self.end(call, outcome, body)
         self.place()
 
@@ -298,6 +346,7 @@
         if connection in self.idle:
             self.idle.remove(connection)
         if call is not None:
+            self._learn(False)
             self.end(call, Outcome.CUT_OFF, b"")
         self.place()
 
@@ -320,6 +369,8 @@
             call = self.calls.get(ident)  # the number may stand for a later call of the same request by now
             if call is not None and call.until + PATIENCE_MORE <= now:
                 sent = ident in self.used
+                if sent:
+                    self._learn(False)
                 self.drop(call)
                 # A call that was never put on a connection never ran.
                 self.events.call_ended(ident, Outcome.TIMED_OUT if sent else Outcome.UNREACHABLE, b"")
--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -27,7 +27,8 @@
 BROKEN_MOST = 1_500_000  # for which a connection that can't be read any more waits for its open requests' answers
 LEAVE_WAIT = 100_000  # between DRAIN and the close of one that rests: what crossed it (50 ms) has come, and its way
 PROBE_WAIT = 20_000  # after which a peer that closed both halves has told so, by resetting what it was sent
-HALF_SPARE = 500_000  # one with part of a frame is closed for another where the rest has not come for so long
+WORD_READ = 100_000  # for which a failure word has been there to read, where room is needed for others
+HALF_SPARE = 250_000  # one with part of a frame is closed for another where the rest has not come for so long
 SPARE_NEW = 150_000  # a connection younger than this is not closed for another: its first request is on the way
 SPARE_USED = 250_000  # nor is one on which something has just passed
 DOOR_MOST = 2**43  # Unix milliseconds, some centuries on
@@ -546,6 +547,11 @@
         spared = SPARE_NEW if self.fresh else SPARE_USED
         return (not self.fresh, self.used) if self.used < now - spared else None
 
+    def lingers_for_nothing(self) -> bool:
+        """Whether it waits for the end of a peer that never asked anything whole, and has had time to read a word."""
+        return self.phase is Phase.SHUT and self.fresh and (
+            self.intake is not Intake.BROKEN or self.intake_since < self.turns.clock.now - WORD_READ)
+
     def make_room(self) -> None:
         """Close for a newcomer."""
         if self.half_since:
--- a/lemonway/net/transport/port.py
+++ b/lemonway/net/transport/port.py
@@ -18,6 +18,7 @@
 
 log = logging.getLogger(__name__)
 
+SHED_MOST = 16  # told to go at a time where there is no room
 TAKEN_MOST = 64  # connections taken in a turn
 REST = 0.05  # s without accepting where there is no room, or the system has no descriptor for another connection
 SCARCE = {errno.EMFILE: "emfile", errno.ENFILE: "enfile", errno.ENOBUFS: "enobufs", errno.ENOMEM: "enomem"}
@@ -65,7 +66,7 @@
     def _made_room(self) -> bool:
         """One that can be spared makes room, in order, so not at once: the port rests until it has."""
         self.counters["accept_rests"] += 1
-        self.factory.shed()  # type: ignore[union-attr]
+        self.factory.shed(SHED_MOST)  # type: ignore[union-attr]
         self._rest()
         return False
 
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,159 @@
+"""What stands between a start and the first good answer: what ``run`` loads, what is done before it listens, a port
+that the predecessor still holds, a pool that comes late, a flood of clients at the first moment. How long it takes is
+measured by ``benchmarks/start.py`` and asserted nowhere."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from lemonway.kit.clients import RouterClient
+from lemonway.kit.stage import site_settings
+
+PROJECT = {  # of this project, what ``run`` loads; a part that only another way to start needs is loaded by that
+    "lemonway", "lemonway.__main__", "lemonway.brain", "lemonway.interface", "lemonway.limits", "lemonway.limits.idle",
+    "lemonway.limits.ramp",
+    "lemonway.net", "lemonway.net.ports", "lemonway.net.program", "lemonway.net.program.bounds",
+    "lemonway.net.program.config", "lemonway.net.program.hold", "lemonway.net.program.logs",
+    "lemonway.net.program.node", "lemonway.net.program.own", "lemonway.net.program.reload",
+    "lemonway.net.program.start", "lemonway.net.program.upgrade", "lemonway.net.protocol",
+    "lemonway.net.protocol.announce", "lemonway.net.protocol.catalogue", "lemonway.net.protocol.pool",
+    "lemonway.net.protocol.resp", "lemonway.net.routing", "lemonway.net.routing.core", "lemonway.net.routing.kept",
+    "lemonway.net.routing.readiness", "lemonway.net.transport", "lemonway.net.transport.clock",
+    "lemonway.net.transport.connection", "lemonway.net.transport.port", "lemonway.net.transport.ring",
+    "lemonway.settings", "lemonway.state", "lemonway.state.expiring", "lemonway.state.inhand", "lemonway.state.recent",
+    "lemonway.state.standing",
+}
+LIBRARIES = {"twisted", "zope", "logfmter", "attr", "attrs", "constantly", "incremental", "typing_extensions"}
+LOADED = """
+import json, sys
+sys.argv = ["lemonway"]
+sys.modules["__main__"].__spec__ = None
+import lemonway.net.program.hold, lemonway.net.program.start
+from lemonway.net.program import node
+import lemonway.net.program.config as config
+from twisted.internet import reactor
+node.Node(config.load_config({"EDGE_CONFIG": sys.stdin.readline().strip()}), reactor)
+print(json.dumps(sorted(sys.modules)))
+"""
+
+
+def config(**more: Any) -> dict[str, Any]:
+    return {"name": "n1", "listen": "127.0.0.1:0", "settings": site_settings(), "pool": "127.0.0.1:1",
+            "catalog": "127.0.0.1:1", "announce": "127.0.0.1:1", "stop_ms": 1000, **more}
+
+
+class Loading(unittest.TestCase):
+    def test_run_loads_what_it_needs_and_nothing_else(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "config.json")
+            path.write_text(json.dumps(config()))
+            done = subprocess.run([sys.executable, "-c", LOADED], input=f"{path}\n", capture_output=True, text=True,
+                                  check=False, timeout=30)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        modules = set(json.loads(done.stdout.splitlines()[-1]))
+        ours = {name for name in modules if name.partition(".")[0] == "lemonway"}
+        self.assertEqual(ours | {"lemonway.__main__"}, PROJECT)
+        outside = {name.partition(".")[0] for name in modules} - set(sys.stdlib_module_names) - {"lemonway", "__main__"}
+        # An installed checkout has a finder of its own, and every environment some that the interpreter loads.
+        own = ("__editable__", "_distutils_hack", "sitecustomize")
+        outside = {name for name in outside if not name.startswith(own)}
+        self.assertLessEqual(outside, LIBRARIES)
+        self.assertFalse({name for name in modules if name.startswith(("twisted.web", "tomllib", "numpy", "msgspec"))})
+
+
+class Real(unittest.TestCase):
+    def started(self, folder: str, **more: Any) -> subprocess.Popen[str]:
+        path = Path(folder, "config.json")
+        path.write_text(json.dumps(config(**more)))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "lemonway"], stderr=subprocess.PIPE, text=True,
+            env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_NAME": "", "EDGE_LISTEN": ""})
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def port_of(self, process: subprocess.Popen[str]) -> int:
+        assert process.stderr is not None
+        return int(process.stderr.readline().rpartition("127.0.0.1:")[2].partition(",")[0])
+
+    def test_a_port_that_the_predecessor_holds_is_taken_over(self) -> None:
+        with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as held:
+            port = held.getsockname()[1]
+            process = self.started(folder, listen=f"127.0.0.1:{port}")
+            # It has begun to try once it has read the file; the port is let go only then.
+            self.past_its_configuration(process)
+            held.close()
+            self.assertEqual(self.port_of(process), port)
+            process.send_signal(signal.SIGTERM)
+            process.communicate(timeout=10)
+            self.assertEqual(process.returncode, 0)
+
+    def past_its_configuration(self, process: subprocess.Popen[str]) -> None:
+        """Until the process has what its loop waits on: it is made after the configuration is read."""
+        links: list[str] = []
+        while process.poll() is None and not any("eventpoll" in link for link in links):
+            links = []
+            for fd in os.listdir(f"/proc/{process.pid}/fd"):
+                try:
+                    links.append(os.readlink(f"/proc/{process.pid}/fd/{fd}"))
+                except OSError:  # closed meanwhile
+                    continue
+
+    def test_it_listens_before_it_dials(self) -> None:
+        """And so before it reports or waits for anything: as its pool first hears of it, clients may connect."""
+        with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as pool:
+            with socket.create_server(("127.0.0.1", 0)) as free:
+                port = free.getsockname()[1]
+            self.started(folder, listen=f"127.0.0.1:{port}", pool=f"127.0.0.1:{pool.getsockname()[1]}")
+            pool.settimeout(20)
+            link, _ = pool.accept()
+            self.addCleanup(link.close)
+            socket.create_connection(("127.0.0.1", port), timeout=0.5).close()
+
+    def test_a_port_that_is_never_let_go_is_named(self) -> None:
+        with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as held:
+            at = f"127.0.0.1:{held.getsockname()[1]}"
+            process = self.started(folder, listen=at)
+            _, said = process.communicate(timeout=30)
+            self.assertEqual((process.returncode, said.count("\n")), (2, 1), said)
+            self.assertIn(f"lemonway: listen: {at}", said)
+
+    def test_a_flood_at_the_first_moment_and_a_pool_that_comes_late(self) -> None:
+        """The first check is answered in its turn, bad before the pool is up and good as soon as it is."""
+        with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as pool:
+            process = self.started(folder, pool=f"127.0.0.1:{pool.getsockname()[1]}")
+            port = self.port_of(process)
+            flood = [socket.create_connection(("127.0.0.1", port)) for _ in range(200)]
+            for n, side in enumerate(flood):
+                self.addCleanup(side.close)
+                side.sendall(b"*5\r\n$4\r\nCA" if n % 2 else b"")
+            check = socket.create_connection(("127.0.0.1", port), timeout=10)
+            self.addCleanup(check.close)
+            check.sendall(RouterClient.frame(b"CHECK", b"1", b"probe=0"))
+            self.assertIn(b"UNREADY", check.recv(4096))
+            pool.settimeout(10)
+            link, _ = pool.accept()
+            self.addCleanup(link.close)
+            self.assertEqual(link.recv(64), b"bind 0\r\n")
+            link.sendall(b"bound old 1000\r\n")
+            tag, word = 2, b"UNREADY"
+            while word == b"UNREADY":  # the two connections cross: asked again until the link was heard
+                check.sendall(RouterClient.frame(b"CHECK", b"%d" % tag, b"probe=0"))
+                word, tag = check.recv(4096).split(b"\r\n")[4], tag + 1
+            self.assertEqual(word, b"READY")
+            process.send_signal(signal.SIGTERM)
+            process.communicate(timeout=10)
+            self.assertEqual(process.returncode, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
