Keep the routers' port through a fault in one accept; end early only with all answered

Seen on reading the change once more: RoomyPort.doRead let a fault in building one connection reach the loop, which takes a port away for good on that; and the end 0.05 s before the kill came whether or not an answer was still owed. Change: the fault costs that connection alone and is counted (accept_faults); the end waits while anything is owed. The rig of several processes takes ports that no dialling socket can get (one start in some hundred hung on that).

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import socket
 import statistics
 import subprocess
 import sys
@@ -94,14 +95,21 @@
         self.tier = ColdAcervo(reactor, server or ColdServer(1e9, 1e9))
         self.tier_port = self.reactor.listenTCP(0, self.tier, interface="127.0.0.1")
         self.tally = Tally()
+        self.next_port = 20_000 + os.getpid() % 100 * 100
         self.nodes = [Node(self, number, calls) for number in range(count)]
 
     def free_port(self) -> int:
-        port = self.reactor.listenTCP(0, StandInAcervo(self.reactor), interface="127.0.0.1")
-        number: int = port.getHost().port
-        port.stopListening()
-        self.reactor.iterate(0)
-        return number
+        """One below those that the system gives to dialling sockets: no connection can take it meanwhile."""
+        for number in range(self.next_port, 32_000):
+            with socket.socket() as side:
+                side.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    side.bind(("127.0.0.1", number))
+                except OSError:
+                    continue
+            self.next_port = number + 1
+            return number
+        raise RuntimeError("no port is free")
 
     def spin(self, until: Callable[[], bool], patience: float = 60.0) -> None:
         end = time.monotonic() + patience
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -337,7 +337,7 @@
         self.core.drain(self.config.stop_ms, handover=handover)
         self.turns.at(now if handover else min(self.grace_until, self.core.stop_at), self.close_ports)
         self.turns.at(self.core.stop_at, self.close_fronts)
-        self.turns.at(max(self.core.stop_at, self.stop_by - LAST), self.end)
+        self.turns.at(max(self.core.stop_at, self.stop_by - LAST), self.end_if_answered)
 
     def close_ports(self) -> None:
         """Past the grace nothing may be run: a refused connection tells a router so at no cost. What has connected is
@@ -367,6 +367,13 @@
         else:
             self.turns.after(END_WAIT, self.end_if_done)
 
+    def end_if_answered(self) -> None:
+        """The kill is near: whoever has not closed by now does not hold the end back, who has no answer does."""
+        if self.core.idle:
+            self.end()
+        else:
+            self.turns.after(LAST // 10, self.end_if_answered)
+
     def end(self) -> None:
         if not self.ended:
             self.ended = True
--- a/lemonway/net/transport/port.py
+++ b/lemonway/net/transport/port.py
@@ -55,13 +55,22 @@
                 factory.shed()
                 self._rest()
                 return
-            taken.setblocking(False)
-            protocol = factory.buildProtocol(self._buildAddr(address))  # type: ignore[no-untyped-call]
-            if protocol is None:
+            try:
+                self._serve(taken, address)
+            except Exception:  # a fault here would have the loop take the port away for good
+                self.counters["accept_faults"] += 1
+                log.exception("a connection could not be taken in")
                 taken.close()
-                continue
-            number, self.sessionno = self.sessionno, self.sessionno + 1
-            protocol.makeConnection(self.transport(taken, protocol, address, self, number, self.reactor))
+
+    def _serve(self, taken: Any, address: Any) -> None:
+        taken.setblocking(False)
+        factory: Any = self.factory
+        protocol = factory.buildProtocol(self._buildAddr(address))  # type: ignore[no-untyped-call]
+        if protocol is None:
+            taken.close()
+            return
+        number, self.sessionno = self.sessionno, self.sessionno + 1
+        protocol.makeConnection(self.transport(taken, protocol, address, self, number, self.reactor))
 
     def _made_room(self) -> bool:
         """One that can be spared makes room, in order, so not at once: the port rests until it has."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -403,6 +403,18 @@
 
 
 class Full(OnStage):
+    def test_a_fault_as_one_is_taken_in_costs_that_one_alone(self) -> None:
+        stage = self.stage()
+        with unittest.mock.patch.object(stage.node.routers, "buildProtocol", side_effect=OSError("reset")), \
+                self.assertLogs("lemonway", "ERROR"):
+            bad = socket.create_connection(("127.0.0.1", stage.port))
+            self.addCleanup(bad.close)
+            stage.spin(lambda: stage.node.core.counters["accept_faults"] == 1)
+        router = stage.router()
+        tag = router.call("busca")
+        stage.settle()
+        self.assertEqual(router.answers[tag][0], "RESULT")
+
     def test_who_finds_no_room_waits_and_loses_nothing(self) -> None:
         stage = self.stage()
         stage.node.routers.bounds = replace(stage.node.bounds, connections=2, surplus=0)
