Say replies in doubt again; cut strangers' lingering ends where the table is full

Change: replies are said again as before; runs that may happen once are still not begun again. In a full table the ends of peers that have had time to read their last word are cut at once, and the port does not rest for them.

--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -81,18 +81,18 @@
             self.shed()
         return RouterConnection(self.turns, self.core, self.names)
 
-    def shed(self, most: int = 1) -> int:
-        """Guards the routers against strangers who open connections and say nothing, or half a line. Gives how many
-        were told to go."""
+    def shed(self, most: int = 1) -> bool:
+        """Guards the routers against strangers who open connections and say nothing, or half a line, and against those
+        who ask once and stay. Gives whether room comes at once; those who are told to go now take a moment."""
         fronts = [front for front in self.core.fronts if isinstance(front, RouterConnection)]
-        for front in fronts:
-            if front.lingers_for_nothing():
-                front.abort()
+        cut = [front for front in fronts if front.lingers_for_nothing()]
+        for front in cut:
+            front.abort()
         spare = sorted((rank, n) for n, front in enumerate(fronts) if (rank := front.spare()))[:most]
         for _, n in spare:
             self.core.counters["connections_shed"] += 1
             fronts[n].make_room()
-        return len(spare)
+        return bool(cut)
 
 
 def listen_for(factory: RouterFactory, at: Address, reactor: Any, counters: Any) -> Any:
--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -548,9 +548,13 @@
         return (not self.fresh, self.used) if self.used < now - spared else None
 
     def lingers_for_nothing(self) -> bool:
-        """Whether it waits for the end of a peer that never asked anything whole, and has had time to read a word."""
-        return self.phase is Phase.SHUT and self.fresh and (
-            self.intake is not Intake.BROKEN or self.intake_since < self.turns.clock.now - WORD_READ)
+        """Whether all that it waits for is the end of a peer that has had time to read what it was told last."""
+        if self.phase is not Phase.SHUT:
+            return False
+        now = self.turns.clock.now
+        if self.intake is Intake.BROKEN:
+            return self.intake_since < now - WORD_READ
+        return self.fresh or self.used < now - SPARE_USED
 
     def make_room(self) -> None:
         """Close for a newcomer."""
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -53,8 +53,7 @@
     spawn_no: int = 0  # the numbers of the commands said last for it
     supply_no: int = 0
     suspend_no: int = 0
-    spawn_sent: bool = False  # whether that spawn and that supply were written to a link: else they never arrived
-    supply_sent: bool = False
+    spawn_sent: bool = False  # whether that spawn was written to a link: else it never arrived
 
 
 class Core:
@@ -220,10 +219,11 @@
         self.counters["links_lost"] += 1
 
     def relinked(self) -> None:
-        """All notices of the time without a link are read: say again what may not have arrived, where that can do no
-        harm. What was never written did not arrive. Of what was written nothing is known: a run that ends just now
-        would be started a second time by its ``spawn``, which only what is safe to repeat may be; and one that has
-        moved on to its next call would take the reply for that one's. Those are left to end, or to fall due."""
+        """All notices of the time without a link are read: say again what may not have arrived, and no more. What was
+        never written did not arrive. Of what was written nothing is known: a run that ends just now would be started a
+        second time by its ``spawn``, which only what is safe to repeat may be; what is not is left to end, or to fall
+        due. A reply is said again all the same: runs left without theirs cost far more (docs/design/crossings.md),
+        though one that has moved on to its next call in this very moment would take it for that one's."""
         doubtful = range(self._proved + 1, self._bound_at + 1)
         for record in [r for r in self.records.values() if r.running]:
             if record.spawn_no in doubtful:
@@ -233,11 +233,8 @@
                     self.counters["said_again"] += 1
                     self._spawn(record)
             if record.supplied is not None and record.supply_no in doubtful:
-                if record.supply_sent:
-                    self.counters["left_in_doubt"] += 1
-                else:
-                    self.counters["said_again"] += 1
-                    self._supply(record, record.supplied)
+                self.counters["said_again"] += 1
+                self._supply(record, record.supplied)
             if record.suspended and record.suspend_no in doubtful:
                 self.counters["said_again"] += 1
                 self._stop(record)
@@ -251,7 +248,7 @@
 
     def _supply(self, record: Record, body: bytes) -> None:
         self._said = record.supply_no = self._said + 1
-        record.supply_sent = self.pool.supply(record.inc.txn, body)
+        self.pool.supply(record.inc.txn, body)
 
     def _stop(self, record: Record) -> None:
         record.suspended = True
--- a/lemonway/net/transport/port.py
+++ b/lemonway/net/transport/port.py
@@ -41,7 +41,10 @@
         """Accept what waits, as far as there is room."""
         factory: Any = self.factory
         for _ in range(TAKEN_MOST):
-            if factory.room() <= 0 and not self._made_room():
+            if factory.room() <= 0:
+                self.counters["accept_rests"] += 1
+                if not factory.shed(SHED_MOST):  # else there is room in the loop's next round
+                    self._rest()
                 return
             try:
                 taken, address = self.socket.accept()
@@ -72,13 +75,6 @@
         number, self.sessionno = self.sessionno, self.sessionno + 1
         protocol.makeConnection(self.transport(taken, protocol, address, self, number, self.reactor))
 
-    def _made_room(self) -> bool:
-        """One that can be spared makes room, in order, so not at once: the port rests until it has."""
-        self.counters["accept_rests"] += 1
-        self.factory.shed(SHED_MOST)  # type: ignore[union-attr]
-        self._rest()
-        return False
-
     def _rest(self) -> None:
         """Stop looking for a while: a queue that is not emptied would wake the loop without end."""
         self.stopReading()  # type: ignore[no-untyped-call]
