--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -214,7 +214,6 @@
         resource.prlimit(real.process.pid, resource.RLIMIT_NOFILE, (real.descriptors(), hard))
         waiting = [real.side(call(1)) for _ in range(5)]
         busy = [real.side(call(2)) for _ in range(1)]
-        real.spin(lambda: True)
         before, since = real.cpu(), time.monotonic()
         real.spin(lambda: time.monotonic() > since + 0.5)
         self.assertLess(real.cpu() - before, 0.25, "it may not spin")
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import json
-import signal
 import tempfile
 import unittest
 import unittest.mock
@@ -177,7 +176,6 @@
         self.assertIsNone(cold_tier(Own(), Settings()))
 
     def test_a_bad_file_is_turned_down_whole_at_a_hangup(self) -> None:
-        self.assertEqual(signal.SIGHUP, 1)
         with tempfile.TemporaryDirectory() as folder:
             own, config = Path(folder, "own.json"), Path(folder, "config.json")
             own.write_text(json.dumps({"next_tier": {**FULL, "processes": 4}}))
