--- a/lemonway/kit/experiment/plan.py
+++ b/lemonway/kit/experiment/plan.py
@@ -111,12 +111,12 @@
 
 
 def digest_now(root: str, fidelity: str) -> str:
-    passed_over = {"experiment"} if fidelity == "live" else {"experiment", "live"}
+    passed_over = {"experiment", "cli", "cli.py"} | (set() if fidelity == "live" else {"live"})
     digest = blake2b(digest_size=12)
     folder = Path(root) / "lemonway" if root else Path(brain.__file__).parent
     for path in sorted(folder.rglob("*.py")):
         inner = path.relative_to(folder)
-        if not passed_over & set(inner.parts) and inner.name != "cli.py":
+        if not passed_over & set(inner.parts):
             digest.update(str(inner).encode() + b"\0" + path.read_bytes() + b"\0")
     return digest.hexdigest()
 
