--- a/lemonway/kit/emulator/replica_day.py
+++ b/lemonway/kit/emulator/replica_day.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from ...quorum import majority_size
 from ...replication.claims import same
 from ...replication.messages import (
     GOOD,
@@ -35,7 +36,7 @@
     decode,
     encode,
 )
-from ...replication.placement import Placement, quorum
+from ...replication.placement import Placement
 from ...replication.replica import Replica, Terms
 
 MS = 1000
@@ -395,7 +396,7 @@
     group = history.groups[key]
     intervals = [(lo, hi) for member in group for lo, hi in history.weak.get(member, []) if hi >= since]
     for moment in {since, *(lo for lo, _ in intervals)}:
-        if sum(lo <= moment <= hi for lo, hi in intervals) > len(group) - quorum(group):
+        if sum(lo <= moment <= hi for lo, hi in intervals) > len(group) - majority_size(group):
             return False
     return True
 
--- a/lemonway/replication/catchup.py
+++ b/lemonway/replication/catchup.py
@@ -2,7 +2,7 @@
 
 A copy that lost its memory has forgotten its promises, so it votes for a group only once it has heard, from enough of
 the group's other members, all that they know of the keys that they share: enough to meet every majority that its
-former life was in (placement.py, ``recovery``). From then on it counts for that group, whatever the others still
+former life was in (quorum.py, ``recovery_size``). From then on it counts for that group, whatever the others still
 lack; meanwhile its node proposes and serves, but does not vote. What it can't hear ends by itself: after the longest
 window no claim of its former life binds anybody, and it votes again.
 
@@ -14,9 +14,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from ..quorum import recovery_size
 from .claims import Claims
 from .messages import Copies, Entry, Out, Recover, Send
-from .placement import Group, recovery
+from .placement import Group
 
 STALLED = 500_000  # without progress for so long, a peer is asked anew
 ENTRIES_MOST = 64  # keys in one message,
@@ -81,14 +82,14 @@
         known = self._votes.get(group)
         if known is None:
             heard = sum(self._counts(self.heard.get(member), member, group) for member in group if member != self.name)
-            known = self._votes[group] = len(group) > 1 and heard >= recovery(group)
+            known = self._votes[group] = len(group) > 1 and heard >= recovery_size(group)
         return known
 
     @staticmethod
     def _counts(heard: Heard | None, member: str, group: Group) -> bool:
         if heard is None or not heard.done:
             return False
-        return heard.whole or sum(q in heard.caught for q in group if q != member) >= recovery(group)
+        return heard.whole or sum(q in heard.caught for q in group if q != member) >= recovery_size(group)
 
     @property
     def caught(self) -> tuple[str, ...]:
--- a/lemonway/replication/claims.py
+++ b/lemonway/replication/claims.py
@@ -21,6 +21,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from ..quorum import has_current_majority
 from .messages import (
     NO_BALLOT,
     VOID,
@@ -48,7 +49,7 @@
     Withdraw,
     Won,
 )
-from .placement import Group, Membership, quorum
+from .placement import Group, Membership
 
 RESEND = 40_000  # a message that may be lost is said again after so long, then after twice as long, ...
 RESEND_MOST = 1_000_000
@@ -137,14 +138,6 @@
     pause: int = RESEND
 
 
-def settled(groups: tuple[Group, ...], answers: dict[str, tuple[int, Lives]], known: Lives) -> bool:
-    """Whether ``answers`` (by member: its life, the lives it knows) make a majority of each of ``groups`` in which
-    every answer is of the newest life of its speaker that this node or any who answered knows of."""
-    told = [known, *(lives for _, lives in answers.values())]
-    good = {member for member, (life, _) in answers.items() if all(life >= lives.get(member, 0) for lives in told)}
-    return all(len(good.intersection(each)) >= quorum(each) for each in groups)
-
-
 class Claims:
     """One node's registers, proposals and publications.
 
@@ -298,8 +291,7 @@
             if publication is not None:
                 self._note(message.lives)
                 publication.kept[sender] = (life, message.lives)
-                if settled(self.placement.groups(message.key), publication.kept,
-                           self.lives):
+                if has_current_majority(publication.kept, self.placement.groups(message.key), self.lives):
                     self._kept(message.key, now)
         elif isinstance(message, Fetch):
             register = self.registers.get(message.key)
@@ -576,7 +568,7 @@
 
     def _weigh_promises(self, at: str, proposal: Proposal, now: int) -> None:
         answers = {member: (life, m.lives) for member, (life, m) in proposal.promises.items()}
-        if not settled(self.placement.groups(at), answers, self.lives):
+        if not has_current_majority(answers, self.placement.groups(at), self.lives):
             return
         # The value of the highest ballot accepted by any of the majority, else our own claim. One whose window has
         # ended binds nobody.
@@ -588,7 +580,7 @@
         self._say(at, proposal, Accept(at, proposal.ballot, proposal.value), now)
 
     def _weigh_accepts(self, at: str, proposal: Proposal, now: int) -> None:
-        if not settled(self.placement.groups(at), proposal.accepts, self.lives):
+        if not has_current_majority(proposal.accepts, self.placement.groups(at), self.lives):
             return
         value = proposal.value or proposal.mine
         told = Chosen(at, value, None)
--- a/lemonway/replication/messages.py
+++ b/lemonway/replication/messages.py
@@ -3,7 +3,7 @@
 
 Every answer that counts towards a majority carries ``lives``: the lives of the group's members as the one who answers
 knows them. A majority counts only if no member of it knows a newer life of another: an answer
-of a life that has ended is forgotten by the copy that gave it (claims.py, ``settled``)."""
+of a life that has ended is forgotten by the copy that gave it (quorum.py, ``has_current_majority``)."""
 
 from __future__ import annotations
 
--- a/lemonway/replication/placement.py
+++ b/lemonway/replication/placement.py
@@ -84,14 +84,3 @@
             if len(self._members) > REMEMBERED:
                 self._members.popitem(last=False)
         return found
-
-
-def quorum(group: Group) -> int:
-    """How many of a group make a majority: any two majorities share a member."""
-    return len(group) // 2 + 1
-
-
-def recovery(group: Group) -> int:
-    """How many of the *other* members a copy that lost its memory has to hear: so many meet every majority in which
-    its former life took part."""
-    return len(group) - quorum(group) + 1
--- a/lemonway/replication/replica.py
+++ b/lemonway/replication/replica.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from ..quorum import majority_size
 from .catchup import CatchUp, Standing
 from .claims import Claims
 from .messages import (
@@ -28,7 +29,7 @@
     Restored,
     Send,
 )
-from .placement import Membership, quorum
+from .placement import Membership
 from .repair import AntiEntropy
 
 log = logging.getLogger(__name__)
@@ -126,7 +127,7 @@
     def reaches(self, key: str) -> bool:
         """Whether a majority of the key's group shows signs of life, as far as this node knows."""
         return not self.outdated and all(
-            sum(member == self.name or member in self.alive for member in group) >= quorum(group)
+            sum(member == self.name or member in self.alive for member in group) >= majority_size(group)
             for group in self.placement.groups(key))
 
     def _may_vote(self, key: str) -> bool:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -8,10 +8,11 @@
 from typing import Any
 from unittest import mock
 
+from lemonway import quorum
 from lemonway.kit.emulator import replica_day
 from lemonway.kit.emulator.replica_day import MIXES, Mix, check, play, run_seeds, schedule, shorten
+from lemonway.quorum import has_current_majority, majority_size, recovery_size
 from lemonway.replication import catchup, claims
-from lemonway.replication.claims import settled
 from lemonway.replication.messages import (
     BAD,
     GOOD,
@@ -35,7 +36,7 @@
     decode,
     encode,
 )
-from lemonway.replication.placement import Membership, Placement, quorum, recovery
+from lemonway.replication.placement import Membership, Placement
 from lemonway.replication.replica import Replica, Terms
 
 SECOND = 1_000_000
@@ -55,7 +56,7 @@
             Placement(["a"], 2)
         for peers, size, majority, others in ((3, 3, 2, 2), (5, 5, 3, 3), (9, 3, 2, 2), (2, 3, 2, 1), (1, 1, 1, 1)):
             group = Placement([f"n{i}" for i in range(peers)], size).group("k")
-            self.assertEqual((quorum(group), recovery(group)), (majority, others), (peers, size))
+            self.assertEqual((majority_size(group), recovery_size(group)), (majority, others), (peers, size))
 
 
 class Trio:
@@ -234,7 +235,7 @@
             ({"a": (1, old), "b": (1, {"a": 2}), "c": (1, old)}, {}, True),
         )
         for answers, known, want in cases:
-            self.assertEqual(settled((group,), answers, known), want, answers)
+            self.assertEqual(has_current_majority(answers, (group,), known), want, answers)
 
 
 class CatchingUp(unittest.TestCase):
@@ -391,9 +392,9 @@
         self.assertGreater(seeds_broken(crash, 8), 0, "votes with lost memory")
         with mock.patch.object(claims.Claims, "_on_accept", forgetful(claims.Claims._on_accept)):
             self.assertGreater(seeds_broken(bursts, 12), 0, "an acceptor that ignores its promise")
-        with mock.patch.object(claims, "quorum", lambda group: 1):
+        with mock.patch.object(quorum, "majority_size", lambda group: 1):
             self.assertGreater(seeds_broken(bursts, 4), 0, "one vote is no majority")
-        with mock.patch.object(catchup, "recovery", lambda group: 0):
+        with mock.patch.object(catchup, "recovery_size", lambda group: 0):
             self.assertGreater(seeds_broken(MIXES["rough"], 8), 0, "votes without having heard anybody")
         with mock.patch.object(Membership, "groups", lambda self, key: (self.current.group(key),)):
             self.assertGreater(seeds_broken(MIXES["new-list"], 6), 0, "a new list decides alone")
