Split the replicated claims by subject: registers, acceptor, proposer, results

Change: registers.py (one copy's table), acceptor.py, proposer.py, results.py, context.py (what they share); claims.py puts them together and keeps the rule for copies that differ. Tests: the mutation of the acceptor strikes Acceptor.on_accept, otherwise names only.

--- a/lemonway/kit/emulator/replica_day.py
+++ b/lemonway/kit/emulator/replica_day.py
@@ -20,7 +20,6 @@
 from typing import Any
 
 from ...quorum import majority_size
-from ...replication.claims import same
 from ...replication.messages import (
     GOOD,
     VOID,
@@ -37,6 +36,7 @@
     encode,
 )
 from ...replication.placement import Placement
+from ...replication.registers import same
 from ...replication.replica import Replica, Terms
 
 MS = 1000
--- a/lemonway/replication/catchup.py
+++ b/lemonway/replication/catchup.py
@@ -163,7 +163,7 @@
                         last = True
                         break
                     if (register := claims.registers.get(at)) is not None:
-                        entries.append(claims.entry(at, register))
+                        entries.append(register.as_entry(at))
                         size += len(register.ended.body) if register.ended is not None else 0
                 self._budget -= max(1, len(entries))
                 self.out.append(Send(peer, Copies(
--- a/lemonway/replication/repair.py
+++ b/lemonway/replication/repair.py
@@ -9,8 +9,9 @@
 import logging
 from collections import Counter
 
-from .claims import SPANS, Claims
+from .claims import Claims
 from .messages import Chosen, Digests, Listing, Out, Pull, Repair, Send
+from .registers import SPANS
 
 log = logging.getLogger(__name__)
 
@@ -68,7 +69,7 @@
             register = claims.registers.get(at)
             if register is None or register.chosen is None:
                 continue
-            found.append(claims.told(at, register))
+            found.append(register.as_chosen(at))
             size += len(register.ended.body) if register.ended is not None else 0
             if len(found) >= FOUND_MOST or size >= BYTES_MOST:
                 self.out.append(Send(to, Repair(tuple(found))))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -12,7 +12,7 @@
 from lemonway.kit.emulator import replica_day
 from lemonway.kit.emulator.replica_day import MIXES, Mix, check, play, run_seeds, schedule, shorten
 from lemonway.quorum import has_current_majority, majority_size, recovery_size
-from lemonway.replication import catchup, claims
+from lemonway.replication import acceptor, catchup
 from lemonway.replication.messages import (
     BAD,
     GOOD,
@@ -383,14 +383,14 @@
         """Mutations: a check that can't fail proves nothing."""
         def forgetful(old: Callable[..., None]) -> Callable[..., None]:
             def on_accept(self: Any, sender: str, m: Accept, now: int) -> None:
-                if (register := self.registers.get(m.key)) is not None:
+                if (register := self.table.get(m.key)) is not None:
                     register.promised = min(register.promised, m.ballot)
                 old(self, sender, m, now)
             return on_accept
 
         bursts, crash = MIXES["bursts"], replace(MIXES["rough"], fallback=False)
         self.assertGreater(seeds_broken(crash, 8), 0, "votes with lost memory")
-        with mock.patch.object(claims.Claims, "_on_accept", forgetful(claims.Claims._on_accept)):
+        with mock.patch.object(acceptor.Acceptor, "on_accept", forgetful(acceptor.Acceptor.on_accept)):
             self.assertGreater(seeds_broken(bursts, 12), 0, "an acceptor that ignores its promise")
         with mock.patch.object(quorum, "majority_size", lambda group: 1):
             self.assertGreater(seeds_broken(bursts, 4), 0, "one vote is no majority")
--- a/tests/test_replication_rule.py
+++ b/tests/test_replication_rule.py
@@ -18,9 +18,9 @@
     run_state_machine_as_test,
 )
 
-from lemonway.replication import claims
-from lemonway.replication.claims import same
+from lemonway.replication import acceptor
 from lemonway.replication.messages import GOOD, Beat, Claim, Ended, Send, Won
+from lemonway.replication.registers import same
 from lemonway.replication.replica import Replica, Terms
 
 NAMES = ("a", "b", "c")
@@ -129,14 +129,14 @@
         run_state_machine_as_test(Copies, settings=SETTINGS)  # type: ignore[no-untyped-call]
 
     def test_it_finds_a_copy_that_ignores_its_promise(self) -> None:
-        old = claims.Claims._on_accept
+        old = acceptor.Acceptor.on_accept
 
         def forgetful(self: Any, sender: str, m: Any, now: int) -> None:
-            if (register := self.registers.get(m.key)) is not None and register.chosen is None:
+            if (register := self.table.get(m.key)) is not None and register.chosen is None:
                 register.promised = min(register.promised, m.ballot)
             old(self, sender, m, now)
 
-        with mock.patch.object(claims.Claims, "_on_accept", forgetful), self.assertRaises(AssertionError):
+        with mock.patch.object(acceptor.Acceptor, "on_accept", forgetful), self.assertRaises(AssertionError):
             run_state_machine_as_test(Copies, settings=settings(  # type: ignore[no-untyped-call]
                 SETTINGS, max_examples=1500, phases=(Phase.generate,)))
 
