--- a/lemonway/kit/faults/day.py
+++ b/lemonway/kit/faults/day.py
@@ -7,16 +7,14 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import random
-import shutil
 import signal
-import tempfile
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
+from .day_runner import DayOutcome, day_parser, end_faults, ended_by_themselves, play_seeds, running_fleet
 from .fleet import Fleet
 from .history import History, check
 
@@ -61,6 +59,8 @@
 
 
 class Player:
+    """Plays a schedule on a fleet in real time."""
+
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.back: list[str] = []  # restarted, not yet seen to be caught up
@@ -71,11 +71,7 @@
             reactor.callLater(at, self.begin, kind, what)
         fleet.spin_for(seconds + 1.0)
         fleet.note("the faults end")
-        fleet.net.calm()
-        for node in fleet.nodes.values():
-            if node.stopped:
-                node.signal(signal.SIGCONT)
-                node.stopped = False
+        end_faults(fleet)
         for name in self.back:
             fleet.returned(name)
         fleet.settle()
@@ -113,23 +109,15 @@
 def play(seed: int, nodes: int = 3, seconds: float = 6.0, faults: int = 8, rate: float = 40.0,
          folder: Path | None = None, replication: dict[str, Any] | None = None) -> tuple[History, list[str]]:
     """One day; gives its history and what it broke."""
-    place = folder or Path(tempfile.mkdtemp(prefix="lemonway-faults-"))
-    fleet = Fleet(nodes, place, seed, replication=replication)
-    try:
-        fleet.start()
+    with running_fleet(lambda place: Fleet(nodes, place, seed, replication=replication), folder,
+                       "lemonway-faults-") as fleet:
         Player(fleet).play(schedule(seed, fleet.names, seconds, faults, rate), seconds)
         fleet.last_questions()
-        broken = check(fleet.history, CATCH_UP_BOUND)
-        broken += [f"{node.name} ended by itself: {node.process.lines[-2:]}" for node in fleet.nodes.values()
-                   if node.process is not None and node.process.ended]
-        return fleet.history, broken
-    finally:
-        fleet.close()
-        if folder is None:
-            shutil.rmtree(place, ignore_errors=True)
+        return fleet.history, check(fleet.history, CATCH_UP_BOUND) + ended_by_themselves(fleet)
 
 
 def summary(history: History) -> str:
+    """The day in one line."""
     words = Counter(call.word or "no answer" for call in history.calls)
     return (f"{len(history.calls)} tries of {len({c.key for c in history.calls})} keys: "
             + ", ".join(f"{word} {count}" for word, count in sorted(words.items()))
@@ -138,30 +126,21 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="python -m lemonway.kit.faults.day", description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=1, help="so many days, from --seed on")
-    parser.add_argument("--nodes", type=int, default=3)
+    """Play the days that the options name; gives 1 if any broke a promise."""
+    parser = day_parser("python -m lemonway.kit.faults.day", __doc__, seconds=6.0, faults=8)
     parser.add_argument("--group", type=int, default=3)
-    parser.add_argument("--seconds", type=float, default=6.0)
-    parser.add_argument("--faults", type=int, default=8)
     parser.add_argument("--rate", type=float, default=40.0, help="keyed tries a second")
     parser.add_argument("--history", type=Path, help="write the history there, a JSON line each")
     args = parser.parse_args(argv)
-    failed = 0
-    for seed in range(args.seed, args.seed + args.seeds):
+
+    def play_one(seed: int) -> DayOutcome:
         history, broken = play(seed, args.nodes, args.seconds, args.faults, args.rate,
                                replication={"group": args.group})
-        print(f"seed {seed}: {summary(history)}; {'broken' if broken else 'kept'}", flush=True)
-        for line in broken:
-            print(f"  {line}")
         if args.history is not None:
             args.history.write_text("".join(json.dumps(row) + "\n" for row in history.rows()))
-        failed += bool(broken)
-        if broken:
-            for event in history.events:
-                print(f"  at {event.at:.3f}: {event.what}")
-    return 1 if failed else 0
+        return DayOutcome(summary(history), broken, [f"at {event.at:.3f}: {event.what}" for event in history.events])
+
+    return play_seeds(args, play_one)
 
 
 if __name__ == "__main__":
--- a/lemonway/kit/faults/policy_day.py
+++ b/lemonway/kit/faults/policy_day.py
@@ -8,13 +8,9 @@
 
 from __future__ import annotations
 
-import argparse
 import copy
 import json
 import random
-import shutil
-import signal
-import tempfile
 import threading
 import time
 from collections import Counter
@@ -24,6 +20,7 @@
 from ..policy import OVER, CallError, call
 from ..stage import site_settings
 from . import day
+from .day_runner import DayOutcome, day_parser, end_faults, ended_by_themselves, play_seeds, running_fleet
 from .epochs import PolicyHistory, Probe, Proposed, check
 from .fleet import WORDS, Fleet, Router
 
@@ -145,11 +142,7 @@
 
     def finish(self) -> list[str]:
         """The faults are over: wait for what has to come true, read the logs of decisions, and check the history."""
-        self.net.calm()
-        for node in self.nodes.values():
-            if node.stopped:
-                node.signal(signal.SIGCONT)
-                node.stopped = False
+        end_faults(self)
         for thread in self.threads:
             while thread.is_alive():
                 self.turn()
@@ -220,27 +213,18 @@
 def play(seed: int, nodes: int = 3, seconds: float = 8.0, faults: int = 6, changes: int = 6,
          folder: Path | None = None) -> tuple[PolicyHistory, list[str]]:
     """One day; gives its history and what it broke."""
-    place = folder or Path(tempfile.mkdtemp(prefix="lemonway-policy-"))
-    fleet = PolicyFleet(nodes, place, seed)
-    try:
-        fleet.start()
+    with running_fleet(lambda place: PolicyFleet(nodes, place, seed), folder, "lemonway-policy-") as fleet:
         fleet.spin(lambda: fleet.all_serve("mark0"), step=0.02)
         player = Player(fleet)
         for at, kind, what in schedule(seed, fleet.names, seconds, faults, changes):
             fleet.reactor.callLater(at, player.begin, kind, what)
         fleet.spin_for(seconds + 1.0)
         fleet.spin(lambda: all(node.running for node in fleet.nodes.values()))
-        broken = fleet.finish()
-        broken += [f"{node.name} ended by itself: {node.process.lines[-2:]}" for node in fleet.nodes.values()
-                   if node.process is not None and node.process.ended]
-        return fleet.changes, broken
-    finally:
-        fleet.close()
-        if folder is None:
-            shutil.rmtree(place, ignore_errors=True)
+        return fleet.changes, fleet.finish() + ended_by_themselves(fleet)
 
 
 def summary(history: PolicyHistory) -> str:
+    """The day in one line."""
     states = Counter(made.state or "no word" for made in history.proposed)
     words = Counter(probe.word or "no answer" for probe in history.probes)
     return (f"{len(history.proposed)} changes: " + ", ".join(f"{state} {n}" for state, n in sorted(states.items()))
@@ -248,22 +232,16 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="python -m lemonway.kit.faults.policy_day", description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=1, help="so many days, from --seed on")
-    parser.add_argument("--nodes", type=int, default=3)
-    parser.add_argument("--seconds", type=float, default=8.0)
-    parser.add_argument("--faults", type=int, default=6)
+    """Play the days that the options name; gives 1 if any broke the promise."""
+    parser = day_parser("python -m lemonway.kit.faults.policy_day", __doc__, seconds=8.0, faults=6)
     parser.add_argument("--changes", type=int, default=6)
     args = parser.parse_args(argv)
-    failed = 0
-    for seed in range(args.seed, args.seed + args.seeds):
+
+    def play_one(seed: int) -> DayOutcome:
         history, broken = play(seed, args.nodes, args.seconds, args.faults, args.changes)
-        print(f"seed {seed}: {summary(history)}; {'broken' if broken else 'kept'}", flush=True)
-        for line in broken:
-            print(f"  {line}")
-        failed += bool(broken)
-    return 1 if failed else 0
+        return DayOutcome(summary(history), broken)
+
+    return play_seeds(args, play_one)
 
 
 if __name__ == "__main__":
