--- a/lemonway/kit/emulator/policy_day.py
+++ b/lemonway/kit/emulator/policy_day.py
@@ -15,26 +15,26 @@
 from __future__ import annotations
 
 import argparse
-import heapq
 import logging
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from ...epochs.member import Busy, Epochs, Terms
-from ...epochs.messages import Keep, Out, Send
+from ...epochs.messages import Keep, Message, Out, Send
+from .fault_day import MS, Event, FaultDay, in_order, shorten
 from .promise import History, check
 
-MS = 1000
 SETTLE = 4000 * MS
 
-Event = tuple[int, str, Any]
-
 
 @dataclass(frozen=True)
 class Mix:
+    """How much of each fault and change a day has."""
+
     nodes: int = 5
     length: int = 5000 * MS
     tick: int = 10 * MS
@@ -56,6 +56,11 @@
     amnesia: bool = False  # nodes vote at once after a restart (to show that the check can fail)
     no_lease: bool = False  # nodes serve whatever they know (likewise)
 
+    @property
+    def names(self) -> list[str]:
+        """The nodes of a day."""
+        return [f"n{number}" for number in range(self.nodes)]
+
 
 MASS = Mix(nodes=200, tick=50 * MS, length=24_000 * MS, zones=5, drop=0.0, changes=3, crashes=0, stops=2, cuts=0,
            one_way=0, misfits=0, deaths=1, delay=(200, 2 * MS))  # the operators' fleet; each of its days adds a trouble
@@ -74,10 +79,11 @@
 
 
 def schedule(seed: int, mix: Mix) -> list[Event]:
+    """Everything that happens in a day from outside, in order of time."""
     rng = random.Random(f"policy/{seed}")
-    names = [f"n{i}" for i in range(mix.nodes)]
+    names = mix.names
     zones = [names[z::mix.zones] for z in range(mix.zones)]
-    events: list[Event] = []
+    events: list[tuple[int, str, tuple[Any, ...]]] = []
 
     def at(lo: int = 1000 * MS) -> int:
         return rng.randrange(lo, mix.length)
@@ -103,32 +109,37 @@
     if mix.replaced:
         for name in rng.sample(names, round(mix.replaced * mix.nodes)):
             events.append((moment + rng.randrange(7000 * MS), "crash", (name, 150 * MS)))
-    return sorted(events, key=lambda e: (e[0], e[1], str(e[2])))
+    return in_order(events)
 
 
-class Day:
+class Day(FaultDay):
+    """A day of the nodes of ``mix`` under the faults and changes of ``events``."""
+
     def __init__(self, seed: int, mix: Mix, events: list[Event]) -> None:
-        self.mix, self.rng = mix, random.Random(f"policy-network/{seed}")
-        self.names = [f"n{i}" for i in range(mix.nodes)]
+        names, rng = mix.names, random.Random(f"policy-network/{seed}")
+        # Clocks of the machines: each its own, and each goes on when its node dies.
+        super().__init__(names, rng, {name: rng.randrange(1 << 40) for name in names})
+        self.mix = mix
         self.lists = (tuple(self.names),)
         self.history = History(tick=mix.tick)
-        self.lives = dict.fromkeys(self.names, 1)
-        # Clocks of the machines: each its own, and each goes on when its node dies.
-        self.clocks = {name: self.rng.randrange(1 << 40) for name in self.names}
-        self.up = dict.fromkeys(self.names, True)
-        self.stopped: dict[str, list[tuple[str, Any]]] = {}
-        self.cuts: list[tuple[int, int, frozenset[str], bool]] = []
         self.disks: dict[str, bytes] = {}
-        self.queue: list[tuple[int, int, str, Any]] = []
-        self.order = self.now = 0
-        self.nodes = {name: self.make(name, True) for name in self.names}
+        self.nodes = {name: self._make(name, True) for name in self.names}
         self.history.lease = max(node.lease_us for node in self.nodes.values())
-        for event in events:
-            self.push(*event)
-        for name in self.names:
-            self.push(self.rng.randrange(mix.tick), "tick", name)
+        self._handlers: dict[str, Callable[..., None]] = {
+            "message": self._on_message, "tick": self._on_tick, "change": self._on_change, "crash": self._on_crash,
+            "return": self._on_return, "cut": self.cut_off,
+        }
+        self.begin(events, mix.tick)
+
+    def play(self) -> History:
+        """Play the day to its end."""
+        self.run_until(self.mix.length + SETTLE + 2 * self.history.lease)
+        for name, node in self.nodes.items():
+            self.history.last[name] = node.serving(self.clock(name)), node.committed.number
+            self.history.live.update(node.outcomes)
+        return self.history
 
-    def make(self, name: str, fresh: bool) -> Epochs:
+    def _make(self, name: str, fresh: bool) -> Epochs:
         def fits(settings: bytes) -> str:
             return "it does not fit here" if settings.endswith(b"!" + name.encode()) else ""
 
@@ -138,70 +149,22 @@
         node.whole = node.whole or self.mix.amnesia
         return node
 
-    def push(self, at: int, kind: str, what: Any) -> None:
-        self.order += 1
-        heapq.heappush(self.queue, (at, self.order, kind, what))
-
-    def clock(self, name: str) -> int:
-        return self.now + self.clocks[name]
-
-    def lost(self, a: str, b: str) -> bool:
+    def _is_lost(self, sender: str, receiver: str) -> bool:
         if self.now < self.mix.length and self.mix.drop and self.rng.random() < self.mix.drop:
             return True
-        return any(lo <= self.now < hi and ((a in side and b not in side) or (not one and b in side and a not in side))
-                   for lo, hi, side, one in self.cuts)
+        return self.is_cut(sender, receiver)
 
-    def carry(self, sender: str, out: list[Out]) -> None:
+    def _carry_out(self, sender: str, out: list[Out]) -> None:
         for item in out:
             if isinstance(item, Keep):
                 self.disks[sender] = item.memory
-            elif isinstance(item, Send) and not self.lost(sender, item.to):
+            elif isinstance(item, Send) and not self._is_lost(sender, item.to):
                 self.push(self.now + self.rng.randint(*self.mix.delay), "message",
                           (sender, self.lives[sender], item.to, item.message))
         node = self.nodes[sender]
         self.history.note(self.now, sender, node, node.serving(self.clock(sender)) or self.mix.no_lease)
 
-    def happen(self, kind: str, what: Any) -> None:
-        if kind == "message":
-            sender, life, to, message = what
-            if self.up[to]:
-                self.carry(to, self.nodes[to].receive(sender, life, message, self.clock(to)))
-        elif kind == "tick":
-            self.push(self.now + self.mix.tick, "tick", what)
-            if self.up[what]:
-                self.carry(what, self.nodes[what].tick(self.clock(what)))
-                self.measure()
-        elif kind == "change":
-            name, how = what
-            if not self.up[name]:
-                return
-            blame = self.rng.choice(self.names)
-            settings = b"{}!" + blame.encode() if how == "misfit" else b"{}"
-            try:
-                ident, out = self.nodes[name].propose(settings, 0, self.clock(name))
-            except Busy:
-                return
-            self.history.proposed[ident] = self.now, name, how
-            self.carry(name, out)
-            if how == "dies":
-                self.push(self.now + self.rng.randrange(1, 25) * MS, "crash", (name, self.rng.randrange(50, 900) * MS))
-        elif kind == "crash":
-            name, down = what
-            if self.up[name]:
-                self.up[name] = False
-                self.history.nothing(self.now, name)
-                self.push(self.now + down, "return", name)
-        elif kind == "return":
-            self.lives[what] += 1
-            self.nodes[what] = self.make(what, False)
-            self.up[what] = True
-            remember = sum((self.up[name] and node.whole) or name in self.disks for name, node in self.nodes.items())
-            self.history.forgotten |= remember <= len(self.names) // 2
-        elif kind == "cut":
-            side, length, one_way = what
-            self.cuts.append((self.now, self.now + length, frozenset(side), one_way))
-
-    def measure(self) -> None:
+    def _measure(self) -> None:
         """When the last node that lives has come to serve a change."""
         for number, (_, change) in self.history.known.items():
             if change.commit and change.ident in self.history.proposed and change.ident not in self.history.took:
@@ -210,62 +173,74 @@
                        if self.up[name] and name not in self.stopped):
                     self.history.took[change.ident] = self.now - self.history.proposed[change.ident][0]
 
-    def play(self) -> History:
-        end = self.mix.length + SETTLE + 2 * self.history.lease
-        while self.queue:
-            at, _, kind, what = heapq.heappop(self.queue)
-            if at > end:
-                break
-            self.now = at
-            if kind == "stop":
-                name, length = what
-                if self.up[name] and name not in self.stopped:
-                    self.stopped[name] = []
-                    self.history.nothing(self.now, name)  # it decides nothing while it stands still
-                    self.push(self.now + length, "go", name)
-            elif kind == "go":
-                for each in self.stopped.pop(what, []):  # it finds at once what came meanwhile, its timers first
-                    self.happen(*each)
-            elif (name := self.whose(kind, what)) in self.stopped:
-                if kind == "tick":
-                    self.stopped[name].insert(0, (kind, what))
-                    continue
-                self.stopped[name].append((kind, what))
-            else:
-                self.happen(kind, what)
-        for name, node in self.nodes.items():
-            self.history.last[name] = node.serving(self.clock(name)), node.committed.number
-            self.history.live.update(node.outcomes)
-        return self.history
+    # what happens
 
-    @staticmethod
-    def whose(kind: str, what: Any) -> str:
+    def waits_for(self, kind: str, what: tuple[Any, ...]) -> str:
         if kind == "message":
             return str(what[2])
+        return str(what[0]) if kind in ("tick", "change", "crash") else ""
+
+    def happen(self, kind: str, what: tuple[Any, ...]) -> None:
+        self._handlers[kind](*what)
+
+    def stop(self, name: str, length: int) -> None:
+        if self.up[name] and name not in self.stopped:
+            self.history.nothing(self.now, name)  # it decides nothing while it stands still
+            super().stop(name, length)
+
+    def hold_back(self, name: str, kind: str, what: tuple[Any, ...]) -> None:
         if kind == "tick":
-            return str(what)
-        return str(what[0]) if kind in ("change", "crash") else ""
+            self.stopped[name].insert(0, (kind, what))  # its timers come first
+        else:
+            super().hold_back(name, kind, what)
+
+    def _on_message(self, sender: str, life: int, to: str, message: Message) -> None:
+        if self.up[to]:
+            self._carry_out(to, self.nodes[to].receive(sender, life, message, self.clock(to)))
+
+    def _on_tick(self, name: str) -> None:
+        self.push(self.now + self.mix.tick, "tick", (name,))
+        if self.up[name]:
+            self._carry_out(name, self.nodes[name].tick(self.clock(name)))
+            self._measure()
+
+    def _on_change(self, name: str, how: str) -> None:
+        if not self.up[name]:
+            return
+        blame = self.rng.choice(self.names)
+        settings = b"{}!" + blame.encode() if how == "misfit" else b"{}"
+        try:
+            ident, out = self.nodes[name].propose(settings, 0, self.clock(name))
+        except Busy:
+            return
+        self.history.proposed[ident] = self.now, name, how
+        self._carry_out(name, out)
+        if how == "dies":
+            self.push(self.now + self.rng.randrange(1, 25) * MS, "crash", (name, self.rng.randrange(50, 900) * MS))
+
+    def _on_crash(self, name: str, down: int) -> None:
+        if self.up[name]:
+            self.up[name] = False
+            self.history.nothing(self.now, name)
+            self.push(self.now + down, "return", (name,))
+
+    def _on_return(self, name: str) -> None:
+        self.lives[name] += 1
+        self.nodes[name] = self._make(name, False)
+        self.up[name] = True
+        remember = sum((self.up[each] and node.whole) or each in self.disks for each, node in self.nodes.items())
+        self.history.forgotten |= remember <= len(self.names) // 2
 
 
 def play(seed: int, mix: Mix, events: list[Event] | None = None) -> tuple[History, list[str]]:
+    """The history of one day, and what it broke; ``events`` in place of the seed's schedule."""
     history = Day(seed, mix, schedule(seed, mix) if events is None else events).play()
     return history, check(history)
 
 
 def shortened(seed: int, mix: Mix) -> list[Event]:
     """The schedule of a day that breaks, without what it breaks without."""
-    events = schedule(seed, mix)
-    size = len(events) // 2
-    while size:
-        at = 0
-        while at < len(events):
-            fewer = events[:at] + events[at + size:]
-            if play(seed, mix, fewer)[1]:
-                events = fewer
-            else:
-                at += size
-        size //= 2
-    return events
+    return shorten(schedule(seed, mix), lambda fewer: bool(play(seed, mix, fewer)[1]))
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/tests/test_epochs.py
+++ b/tests/test_epochs.py
@@ -17,7 +17,7 @@
 from lemonway.epochs.lease import NEVER, covered
 from lemonway.epochs.member import Busy, Epochs, Terms
 from lemonway.epochs.messages import NOTHING, Accepted, Change, Fit, Log, Pulse, Send, State, Switch
-from lemonway.kit.emulator import day, epoch_states, policy_day, report, scenario
+from lemonway.kit.emulator import day, epoch_states, fault_day, policy_day, report, scenario
 from lemonway.net.routing.core import Core
 
 MANY = 300_000  # states of the short form; the whole is a benchmark run
@@ -77,16 +77,16 @@
             self.assertGreater(known, 0 if mix.nodes < 100 else -1, f"the days of {name} were played")
 
     def test_a_day_of_two_hundred_nodes(self) -> None:
-        mix = replace(policy_day.MIXES["zone-200"], nodes=60, length=9000 * policy_day.MS)
+        mix = replace(policy_day.MIXES["zone-200"], nodes=60, length=9000 * fault_day.MS)
         history, broken = policy_day.play(1, mix)
         self.assertEqual(broken, [])
         self.assertGreater(len(history.took), 0)
 
     def test_a_seed_gives_the_same_day_in_every_process(self) -> None:
         """Else a seed that broke could not be played again. The order of sets differs from process to process."""
-        text = ("from lemonway.kit.emulator import policy_day as p, replica_day as r\n"
-                "for name, mix in r.MIXES.items():\n"
-                "    day = r.Day(3, mix, r.schedule(3, mix)); h = day.play(); print(name, h.runs, h.served, h.last)\n"
+        text = ("from lemonway.kit.emulator import policy_day as p, replica_day as r, replica_faults as f\n"
+                "for name, mix in f.MIXES.items():\n"
+                "    day = r.Day(3, mix, f.schedule(3, mix)); h = day.play(); print(name, h.runs, h.served, h.last)\n"
                 "for name in ('three', 'rough', 'disk'):\n"
                 "    h, _ = p.play(3, p.MIXES[name]); print(name, h.served, h.known)\n")
         said = {subprocess.run([sys.executable, "-c", text], capture_output=True, check=True,
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -10,7 +10,9 @@
 
 from lemonway import quorum
 from lemonway.kit.emulator import replica_day
-from lemonway.kit.emulator.replica_day import MIXES, Mix, check, play, run_seeds, schedule, shorten
+from lemonway.kit.emulator.replica_day import play, run_seeds, shortened
+from lemonway.kit.emulator.replica_faults import MIXES, Mix, schedule
+from lemonway.kit.emulator.replica_history import check
 from lemonway.quorum import has_current_majority, majority_size, recovery_size
 from lemonway.replication import acceptor, catchup
 from lemonway.replication.messages import (
@@ -403,7 +405,7 @@
         mix = replace(MIXES["crash"], fallback=False, tries=60, keys=6)
         seed = next(s for s in range(60) if check(play(s, mix), mix))
         events = schedule(seed, mix)
-        fewer = shorten(seed, mix, events)
+        fewer = shortened(seed, mix, events)
         self.assertTrue(check(play(seed, mix, fewer), mix))
         self.assertLess(len(fewer), len(events) / 2)
 
