Break the import circles of live and emulated lives

Change: a life states what it asks of its host (MachineHost), and a connection what it asks of its node (RemoteNode), as protocols beside those who ask; no import is left that goes back.

--- a/lemonway/kit/emulator/wire/peers.py
+++ b/lemonway/kit/emulator/wire/peers.py
@@ -4,22 +4,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-from ....interface import Outcome
+from ....interface import Outcome, Settings
 from ....net.ports import Answer, Verdict
 from ...acervo import EXTRAS, REPLIES, SPOILT, AcervoSide
 from ...clients import RouterClient, RouterSide
 from ...pool import PoolSide
-from ..node import Calls
+from ..node import Calls, Life
 from ..requests import Try
 from ..routing.router import Router
 from ..state.pool import Pool
-from ..virtual import Uniform
-from .pipes import End
-
-if TYPE_CHECKING:
-    from .life import WireLife
+from ..virtual import Loop, Uniform
+from .pipes import End, Plumbing
 
 CROSSING = 50_000  # microseconds within which a request may cross the closing of its connection
 OPEN_MOST = 32  # requests open on one connection (PROTOCOL)
@@ -28,6 +25,29 @@
 STATUS = {Outcome.OK: "ok", Outcome.TURNED_AWAY: "declined", Outcome.TIMED_OUT: "late", Outcome.ERROR: "failed"}
 
 
+class RemoteNode(Protocol):
+    """A node as the connections to it see it."""
+
+    name: str
+    dead: bool
+    teams: list[str]
+    settings: Settings
+    plumbing: Plumbing
+
+    @property
+    def loop(self) -> Loop:
+        """The time of the day that it is part of."""
+
+    def heard(self, link: WireLink, tag: int, answer: Answer) -> None:
+        """An answer has come to the router's end of a connection."""
+
+    def refused(self, link: WireLink, t: Try) -> None:
+        """No connection could be made for it: it never came to the node."""
+
+    def broken(self, link: WireLink, t: Try) -> None:
+        """A connection ended under a request."""
+
+
 class Caller:
     """One connection of a router to a node. It is the client of ``kit.clients.RouterSide``."""
 
@@ -98,7 +118,7 @@
 
     caller = Caller
 
-    def __init__(self, life: WireLife, router: Router, delay: int) -> None:
+    def __init__(self, life: RemoteNode, router: Router, delay: int) -> None:
         self.life, self.router, self.delay = life, router, delay
         self.callers: list[Caller] = []
         self.checker: Caller | None = None
@@ -241,7 +261,7 @@
 
     noisy = False
 
-    def __init__(self, life: WireLife, router: Router, number: Callable[[], int], uniform: Uniform, spoil: float,
+    def __init__(self, life: Life, router: Router, number: Callable[[], int], uniform: Uniform, spoil: float,
                  extra: float) -> None:
         super().__init__(life, router, number)
         self.uniform, self.spoil, self.extra = uniform, spoil, extra
--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from contextlib import suppress
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import IO, Any, Protocol
 
 from twisted.internet.error import ProcessExitedAlready
 from twisted.internet.protocol import ProcessProtocol
@@ -20,19 +20,17 @@
 from ...net.transport.clock import Clock, Turns
 from ..emulator.audit import Breach
 from ..emulator.node import HANDSHAKE, MEMORY_MB, SOCKETS, Life
-from ..emulator.requests import Try
-from ..emulator.virtual import Uniform
+from ..emulator.requests import Request, Try
+from ..emulator.scenario import Scenario
+from ..emulator.virtual import Streams, Uniform
 from ..emulator.wire.peers import WORDS, PoolEnd
 from ..pool import PoolSide
-from .acervo import number_of
+from .acervo import Port, number_of
 from .clock import RealLoop
 from .config import node_json
 from .door import DoorSide
 from .reconcile import parse
 
-if TYPE_CHECKING:
-    from .machines import MachinesWorld
-
 ROOT = Path(__file__).parents[3]
 LAUNCH = Path(__file__).with_name("launch.py")
 STDERR_KEPT = 40  # last lines of a node's own log
@@ -40,6 +38,49 @@
 MOVED = 20_000  # microseconds from new addresses to SIGHUP
 
 
+class MachineHost(Protocol):
+    """The process of machines that a life runs in, as the life and its ports see it."""
+
+    reactor: Any
+    scenario: Scenario
+    streams: Streams
+    lives_begun: Counter[str]
+    by_number: dict[int, Request]
+    folder: Path
+    node_cpus: list[int]
+    log: IO[str] | None  # where the nodes' own logs go
+    begun: bool  # whether the day has begun
+    pools: dict[str, PoolPorts]
+    pool_ports: dict[str, Port]
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Where a node listens."""
+
+    def report_to(self, name: str) -> str:
+        """The announce service's address, as this node has it."""
+
+    def catalogue(self, name: str) -> str | None:
+        """The next tier's address, as this node has it."""
+
+    def life_of(self, name: str) -> Life | None:
+        """The life that is on a machine now."""
+
+    def open(self, life: LiveLife) -> None:
+        """The life is up: let routers in."""
+
+    def close(self, life: LiveLife) -> None:
+        """The life listens no more."""
+
+    def could_not_start(self, why: str) -> None:
+        """The life ended before it was up."""
+
+    def counted(self, life: LiveLife) -> None:
+        """The life's counters have come."""
+
+    def check_counters(self, life: LiveLife) -> None:
+        """The life's last word is there, or never will be."""
+
+
 class LivePool(PoolEnd):
     """The pool's end of a real link."""
 
@@ -106,7 +147,7 @@
     loop: RealLoop
 
     def _build(self, seed: int, cold: bool, extra: Any) -> None:
-        self.host: MachinesWorld = extra
+        self.host: MachineHost = extra
         self.seed, self.cold = seed, cold
         self.address = self.host.address(self.name)
         self.machine.keys = lambda: 0  # on sockets, what a node keeps of keys sits in its own memory (PROTOCOL)
@@ -316,7 +357,7 @@
 
     noisy = False
 
-    def __init__(self, host: MachinesWorld, name: str) -> None:
+    def __init__(self, host: MachineHost, name: str) -> None:
         self.host, self.name, self.refusing = host, name, False
 
     def refuse(self, refusing: bool) -> None:
