--- a/lemonway/kit/cli/scenarios.py
+++ b/lemonway/kit/cli/scenarios.py
@@ -29,7 +29,7 @@
             plan = scenario.load(file)
         except scenario.ScenarioError as error:
             fail(error)
-        click.echo(f"{file}: {plan.title}: {plan.seconds:g} s, {plan.fleet.nodes} nodes, {len(plan.trouble)} troubles")
+        click.echo(f"{file}: {plan.title}: {plan.seconds:g} s, {plan.fleet.nodes} nodes, {len(plan.trouble)} faults")
 
 
 @scenarios.command("schema")
--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -1,4 +1,4 @@
-"""Plays a day: builds the fleet of a scenario, puts its troubles and its traffic on the loop, lets it run, and gives
+"""Plays a day: builds the fleet of a scenario, puts its faults and its traffic on the loop, lets it run, and gives
 what came of it. Nothing is decided here."""
 
 from __future__ import annotations
@@ -18,8 +18,8 @@
 from .membership import AnnounceService, View
 from .membership.policy import FleetPolicy
 from .node import MEMORY_MB, SOCKETS, CoreMaker, Life, Totals
+from .recovery.faults import FaultInjector, PlannedFault
 from .recovery.keeper import Happening, Keeper, Network
-from .recovery.troubles import Plan, Troubles
 from .requests import Request, Try
 from .routing.router import Habit, Router
 from .scenario import Draw, Kind, Scenario, ScenarioError
@@ -32,7 +32,7 @@
 
 SECOND = 1_000_000
 TAIL = 5 * SECOND  # past the last deadline, for what is still to be told
-REPEATED = ("link", "reset", "reload", "pause")  # troubles that strike each so many seconds
+REPEATED = ("link", "reset", "reload", "pause")  # faults that strike each so many seconds
 METERS = ("cpu_busy", "runnable", "mem_used", "sockets")
 SPEED_LEAST, SPEED_MOST = 0.25, 4.0  # of its kind's mean, that one machine may draw
 
@@ -66,7 +66,7 @@
 
 
 class World:
-    """The fleet of one day. It is what ``recovery.troubles.Struck`` strikes."""
+    """The fleet of one day. It is a ``recovery.faults.FaultTarget``."""
 
     def __init__(
         self, scenario: Scenario, seed: int, make_core: CoreMaker = Core, keep: bool = False, wire: bool = False,
@@ -261,7 +261,7 @@
         life = self.keeper.lives.get(name)
         return life if isinstance(life, Life) and not life.dead else None
 
-    # what troubles do
+    # what faults do
 
     def set_factor(self, name: str, factor: float) -> None:
         self.machines[name].cores.set_factor(factor)
@@ -296,7 +296,7 @@
         raise NotImplementedError  # ``play`` turns such a day away
 
     def cut(self, names: Sequence[str], length: int) -> None:
-        assert self.policy is not None  # a scenario without it has no such trouble
+        assert self.policy is not None  # a scenario without it has no such fault
         self.policy.cut(names, length)
 
     def propose(self, name: str, settings: str) -> str:
@@ -305,12 +305,12 @@
 
     # the day
 
-    def plans(self) -> list[tuple[Plan, list[int], int]]:
-        """The troubles with their figures drawn, the classes (none = all) and the museum (-1 = all) of a burst."""
+    def plans(self) -> list[tuple[PlannedFault, list[int], int]]:
+        """The faults with their figures drawn, the classes (none = all) and the museum (-1 = all) of a burst."""
         rows = []
         for n, t in enumerate(self.scenario.trouble):
             key = f"trouble.{n}"
-            plan = Plan(
+            plan = PlannedFault(
                 t.kind, START + int(self.draw(f"{key}.at", t.at) * SECOND),
                 int(self.draw(f"{key}.seconds", t.seconds) * SECOND), self.draw(f"{key}.part", t.part),
                 self.draw(f"{key}.size", t.size), int(t.tier == "acervo"), t.state,
@@ -326,17 +326,17 @@
         bursts = [row for row in self.plans() if row[0].kind == "burst"]
         return draw_requests(self.scenario, self.streams, self.draw, self.mix, self.capacity, bursts, self.call_work)
 
-    def set_troubles(self, shift: int) -> None:
-        """Put the day's troubles on the loop, all of them ``shift`` microseconds later than drawn."""
-        troubles = Troubles(self.loop, self.keeper, self, self.tiers)
+    def schedule_faults(self, shift: int) -> None:
+        """Put the day's faults on the loop, all of them ``shift`` microseconds later than drawn."""
+        injector = FaultInjector(self.loop, self.keeper, self, self.tiers)
         for n, (plan, _, _) in enumerate(self.plans()):
-            troubles.set(replace(plan, at=plan.at + shift), self.streams[f"trouble/{n}"])
+            injector.schedule(replace(plan, at=plan.at + shift), self.streams[f"trouble/{n}"])
 
     def play(self, progress: Callable[[float], None] | None = None) -> Result:
         """``progress`` is told the share of the day that is over, once a second of it."""
         requests = self.requests()
         self.number = len(requests)
-        self.set_troubles(0)
+        self.schedule_faults(0)
         for tier, row in enumerate(self.tiers):
             for name in row:
                 self.services[tier].seed(name)
@@ -401,8 +401,8 @@
     progress: Callable[[float], None] | None = None, wire: bool = False,
 ) -> Result:
     """Play one day. The collector of cyclic rubbish rests meanwhile: a day leaves little of it and much to look at."""
-    for n, trouble in enumerate(scenario.trouble):
-        if trouble.kind == "pause":
+    for n, fault in enumerate(scenario.trouble):
+        if fault.kind == "pause":
             raise ScenarioError(f"{scenario.title}: trouble.{n}.kind: a process can only be stopped live (--live)")
     if scenario.policy is not None and wire:
         raise ScenarioError(f"{scenario.title}: policy: is played on the nodes' cores; leave --wire out")
--- a/lemonway/kit/emulator/node.py
+++ b/lemonway/kit/emulator/node.py
@@ -306,7 +306,7 @@
     def _gone(self) -> None:
         """The process takes nothing with it that others hold."""
 
-    # troubles
+    # faults
 
     def deafen(self) -> None:
         """From now on commands to the pool are lost on the way, until the link is made anew."""
--- a/lemonway/kit/emulator/policy_day.py
+++ b/lemonway/kit/emulator/policy_day.py
@@ -63,7 +63,7 @@
 
 
 MASS = Mix(nodes=200, tick=50 * MS, length=24_000 * MS, zones=5, drop=0.0, changes=3, crashes=0, stops=2, cuts=0,
-           one_way=0, misfits=0, deaths=1, delay=(200, 2 * MS))  # the operators' fleet; each of its days adds a trouble
+           one_way=0, misfits=0, deaths=1, delay=(200, 2 * MS))  # the operators' fleet; each of its days adds a fault
 
 MIXES = {
     "three": Mix(nodes=3, crashes=2),
--- a/lemonway/kit/emulator/scenario.py
+++ b/lemonway/kit/emulator/scenario.py
@@ -292,14 +292,14 @@
         for what, row in (("classes", names), ("tenants", museums)):
             if len(set(row)) != len(row):
                 raise ValueError(f"{what}: a name stands twice")
-        for n, trouble in enumerate(self.trouble):
-            if trouble.kind in ("cut", "policy") and self.policy is None:
-                raise ValueError(f"trouble.{n}.kind: {trouble.kind} needs a table [policy]")
-            for name in trouble.classes:
+        for n, fault in enumerate(self.trouble):
+            if fault.kind in ("cut", "policy") and self.policy is None:
+                raise ValueError(f"trouble.{n}.kind: {fault.kind} needs a table [policy]")
+            for name in fault.classes:
                 if name not in names:
                     raise ValueError(f"trouble.{n}.classes: {name!r} is none of {', '.join(names)}")
-            if trouble.tenant is not None and trouble.tenant not in museums:
-                raise ValueError(f"trouble.{n}.tenant: {trouble.tenant!r} is none of {', '.join(museums)}")
+            if fault.tenant is not None and fault.tenant not in museums:
+                raise ValueError(f"trouble.{n}.tenant: {fault.tenant!r} is none of {', '.join(museums)}")
         return self
 
 
--- a/lemonway/kit/emulator/state/cores.py
+++ b/lemonway/kit/emulator/state/cores.py
@@ -62,7 +62,7 @@
     ) -> None:
         self.loop, self.count, self.speed, self.thrash, self.thrash_at = loop, count, speed, thrash, thrash_at
         self.warmth = warmth
-        self.factor = 1.0  # of the speed, in trouble
+        self.factor = 1.0  # of the speed, under a fault
         self.tasks = self.crowd = 0  # on the cores now; those of them that are running requests
         self.given = 0.0  # standard milliseconds of work done for tasks, all in all
         self.crowd_time = 0.0  # running requests on the cores x microseconds
--- a/lemonway/kit/emulator/traffic.py
+++ b/lemonway/kit/emulator/traffic.py
@@ -10,7 +10,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from .recovery.troubles import Plan
+from .recovery.faults import PlannedFault
 from .requests import Request
 from .scenario import Draw, Scenario
 from .virtual import START, Streams
@@ -104,7 +104,7 @@
 
 def draw_requests(
     scenario: Scenario, streams: Streams, draw: Draw, mix: Mix, capacity: float,
-    bursts: list[tuple[Plan, list[int], int]], call_work: float,
+    bursts: list[tuple[PlannedFault, list[int], int]], call_work: float,
 ) -> list[Request]:
     """All first tries in the order they are asked. ``capacity`` is requests a second that the cores can do; ``bursts``
     holds the plan of each, with the classes (none = all) and the museum (-1 = all) that it is of."""
--- a/lemonway/kit/emulator/wire/life.py
+++ b/lemonway/kit/emulator/wire/life.py
@@ -98,7 +98,7 @@
             self._let_go(t)
         self.loop.after(link.delay, link.router.broken, t)
 
-    # troubles
+    # faults
 
     def deafen(self) -> None:
         self.pool.deaf = True
--- a/lemonway/kit/experiment/compare.py
+++ b/lemonway/kit/experiment/compare.py
@@ -1,6 +1,6 @@
 """Compares two arms seed by seed. Pure: figures in, numbers out.
 
-Differences are paired, since a seed draws the same machines, traffic and troubles for both. The interval is a BCa
+Differences are paired, since a seed draws the same machines, traffic and faults for both. The interval is a BCa
 bootstrap of their mean (Efron 1987, ``scipy.stats.bootstrap``); the number of seeds needed is that of a paired test at
 5% with a power of 80%, by the normal approximation."""
 
--- a/lemonway/kit/experiment/report.py
+++ b/lemonway/kit/experiment/report.py
@@ -164,7 +164,7 @@
 
 
 def day_chart(arm: Arm) -> str:
-    """Asked, in time, late and not served by window, summed over seeds; the first seed's troubles are marked."""
+    """Asked, in time, late and not served by window, summed over seeds; the first seed's faults are marked."""
     figure, axes = _axes()
     days = list(arm.days.values())
     count = min(len(day["windows"]) for day in days)
--- a/lemonway/kit/live/acervo.py
+++ b/lemonway/kit/live/acervo.py
@@ -132,7 +132,7 @@
         self.say(up=True)
 
     def day(self, at: int) -> None:
-        self.world.set_troubles(self.shift)
+        self.world.schedule_faults(self.shift)
 
     def finish(self, order: dict[str, Any]) -> None:
         world, names = self.world, self.world.tiers[1]
--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -299,7 +299,7 @@
         if link is not None:
             link.transport.abortConnection()
 
-    # troubles
+    # faults
 
     def deafen(self) -> None:
         self.causes.add("moved")
--- a/lemonway/kit/live/machines.py
+++ b/lemonway/kit/live/machines.py
@@ -1,5 +1,5 @@
 """The first tier's machines as a process: each with its cores, its pool, its door and its node, which is a process of
-its own. It keeps the nodes (starts, kills, drains, replaces) and plays the day's troubles on them."""
+its own. It keeps the nodes (starts, kills, drains, replaces) and plays the day's faults on them."""
 
 from __future__ import annotations
 
@@ -123,7 +123,7 @@
     def could_not_start(self, why: str) -> None:
         raise Fault(why)
 
-    # troubles
+    # faults
 
     def reload(self, name: str) -> None:
         life = self.life_of(name)
@@ -178,7 +178,7 @@
 
     def day(self, at: int) -> None:
         self.world.begun = True
-        self.world.set_troubles(self.shift)
+        self.world.schedule_faults(self.shift)
         self.loop.at(at, self._mark)
 
     def _mark(self) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -29,7 +29,7 @@
 
 @dataclass
 class World:
-    """One server: cores shared evenly by what runs; troubles are drawn from the seed."""
+    """One server: cores shared evenly by what runs; faults are drawn from the seed."""
 
     settings: Settings
     seed: int
