--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -21,7 +21,7 @@
 from .recovery.faults import FaultInjector, PlannedFault
 from .recovery.keeper import Happening, Keeper, Network
 from .requests import Request, Try
-from .routing.router import Habit, Router
+from .routing.router import Router, RouterBehaviour
 from .scenario import Draw, Kind, Scenario, ScenarioError
 from .service import Asked, Goal, Service, serve
 from .state.machine import Build, Machine
@@ -190,33 +190,34 @@
         s = self.scenario.routers
         total = sum(row.share for row in s.habits)
         owed = [0.0] * len(s.habits)
-        heeding = [0.0] * len(s.habits)  # by habit: how many of its routers ought to heed and don't yet
+        owed_feedback = [0.0] * len(s.habits)  # by row: how many of its routers ought to follow feedback and don't yet
         routers = []
         for n in range(1, s.count + 1):
             owed = [o + row.share / total for o, row in zip(owed, s.habits, strict=True)]
             pick = max(range(len(s.habits)), key=lambda i: owed[i])
             owed[pick] -= 1.0
             row = s.habits[pick]
-            heeding[pick] += row.heeds
-            heeds = heeding[pick] >= 0.5
-            heeding[pick] -= heeds
-            habit = Habit(row.pick, row.retry, row.retry_share, row.patience, heeds, row.copies, row.checks,
-                          row.ejects, row.throttles)
-            routers.append(self._make_router(n, f"router/{n}", 0, habit, s.list_lag_s))
+            owed_feedback[pick] += row.heeds
+            follows_feedback = owed_feedback[pick] >= 0.5
+            owed_feedback[pick] -= follows_feedback
+            behaviour = RouterBehaviour(row.pick, row.retry, row.retry_share, row.patience, follows_feedback,
+                                        row.copies, row.checks, row.ejects, row.throttles)
+            routers.append(self._make_router(n, f"router/{n}", 0, behaviour, s.list_lag_s))
         return routers
 
     def _make_proxy(self, name: str, n: int) -> Router:
-        return self._make_router(100_000 + n, f"proxy/{name}", 1, Habit(self.scenario.acervo.pick),
+        return self._make_router(100_000 + n, f"proxy/{name}", 1, RouterBehaviour(self.scenario.acervo.pick),
                                  self.scenario.routers.list_lag_s)
 
-    def _make_router(self, number: int, name: str, tier: int, habit: Habit, lag: tuple[float, float]) -> Router:
+    def _make_router(self, number: int, name: str, tier: int, behaviour: RouterBehaviour,
+                     lag: tuple[float, float]) -> Router:
         uniform = Uniform(self.streams[name])
         view = View(self.services[tier], Uniform(self.streams[f"{name}/list"]), lag)
         span = self.scenario.routers.delay_ms
         low, high = span if isinstance(span, tuple) else (span, span)
         self.delays[number] = int(Uniform(self.streams[f"{name}/delay"]).between(low, high) * 1000)
         weights = {name: self.builds[name].cores * self.builds[name].speed for name in self.tiers[tier]}
-        return Router(self.loop, number, habit, view, self.network, uniform, self.next_number,
+        return Router(self.loop, number, behaviour, view, self.network, uniform, self.next_number,
                       self.deadlines, self.heeded, weights)
 
     # nodes
--- a/lemonway/kit/emulator/routing/peers.py
+++ b/lemonway/kit/emulator/routing/peers.py
@@ -65,14 +65,14 @@
         self.checks_bad = 0 if good else self.checks_bad + 1
         self.marked = self.marked or not good
 
-    def open_to(self, now: int, rank: float, heeds: bool, ejects: bool, checks: bool) -> bool:
-        """Whether a router with these habits would send a request of this rank here. Without a mark nothing stands
+    def open_to(self, now: int, rank: float, follows_feedback: bool, ejects: bool, checks: bool) -> bool:
+        """Whether a router that behaves so would send a request of this rank here. Without a mark nothing stands
         against it: most peers of a large fleet are so, and the caller need not ask."""
         self.marked = (self.checks_bad > 0 or (self.level > 0 and self.level_until > now)
                        or max(self.draining_until, self.away_until, self.ejected_until) > now)
         if self.draining_until > now:
             return False
-        if heeds and (self.away_until > now or (rank < self.level and self.level_until > now)):
+        if follows_feedback and (self.away_until > now or (rank < self.level and self.level_until > now)):
             return False
         if ejects and self.ejected_until > now:
             return False
--- a/lemonway/kit/emulator/routing/router.py
+++ b/lemonway/kit/emulator/routing/router.py
@@ -1,4 +1,4 @@
-"""One router: sends requests to nodes on its list, waits, and tries again as its habit has it. It must not know
+"""One router: sends requests to nodes on its list, waits, and tries again as its behaviour says. It must not know
 anything but its list, its own requests and the answers to them."""
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True)
-class Habit:
+class RouterBehaviour:
     """How a router behaves. ``retry``: none, budget, or unlimited (on through the list, with no limit on the share).
     ``patience``: how long it waits for one try, as a share of the class's deadline."""
 
@@ -32,7 +32,7 @@
     retry: str = "none"
     retry_share: float = 0.2
     patience: float = 1.0
-    heeds: bool = True
+    follows_feedback: bool = True  # a level told, and how long to stay away
     copies: bool = False
     checks: bool = False
     ejects: bool = False
@@ -64,17 +64,17 @@
 
 class Router:
     def __init__(
-        self, loop: Loop, number: int, habit: Habit, view: View, network: Network, uniform: Uniform,
+        self, loop: Loop, number: int, behaviour: RouterBehaviour, view: View, network: Network, uniform: Uniform,
         number_try: Callable[[], int], deadlines: list[int], heeded: int, weights: dict[str, float] | None = None,
         check_every: int = 1_000_000,
     ) -> None:
         """``deadlines`` by class and ``heeded``, how long a told level holds, are microseconds."""
-        self.loop, self.number, self.habit, self.view, self.network = loop, number, habit, view, network
+        self.loop, self.number, self.behaviour, self.view, self.network = loop, number, behaviour, view, network
         self.uniform, self.number_try, self.deadlines, self.heeded = uniform, number_try, deadlines, heeded
         self.peers = {name: Peer(name, place, (weights or {}).get(name, 1.0))
                       for place, name in enumerate(view.names)}
-        self.pick = Picker(habit.pick, uniform)
-        self.budget, self.throttle = RetryBudget(habit.retry_share), Throttle()
+        self.pick = Picker(behaviour.pick, uniform)
+        self.budget, self.throttle = RetryBudget(behaviour.retry_share), Throttle()
         self.counters: Counter[str] = Counter()
         self.check_every = check_every
         self._hands: dict[int, Hand] = {}  # an open try: its request
@@ -82,7 +82,7 @@
         self._listed: list[Peer] = []
         self._stale = True
         view.on_change = self._list_changed
-        if habit.checks:
+        if behaviour.checks:
             loop.after(int(uniform() * check_every), self._check)
 
     def _list_changed(self) -> None:
@@ -95,7 +95,7 @@
         now, hand = self.loop.now, Hand(request, until, done)
         if request.keyed:
             hand.home = self._homes.get(request.unique, "")
-        if self.habit.throttles:
+        if self.behaviour.throttles:
             if self.uniform() < self.throttle.chance(now):
                 self.throttle.ask(now)
                 self._finish(hand, "throttled", b"")
@@ -105,7 +105,7 @@
         self._send_next(hand)
 
     def _send_next(self, hand: Hand) -> None:
-        now, request, habit = self.loop.now, hand.request, self.habit
+        now, request, behaviour = self.loop.now, hand.request, self.behaviour
         if hand.over:
             return
         if now >= hand.until:
@@ -121,7 +121,7 @@
             if self._stale:
                 self._stale, self._listed = False, [self.peers[name] for name in self.view.listed]
             free = [p for p in self._listed if not p.marked
-                    or p.open_to(now, rank, habit.heeds, habit.ejects, habit.checks)]
+                    or p.open_to(now, rank, behaviour.follows_feedback, behaviour.ejects, behaviour.checks)]
             if tried:
                 free = [p for p in free if p.name not in tried]
             if not free:
@@ -142,9 +142,9 @@
         peer.outstanding += 1
         peer.sent += 1
         self._hands[number] = hand
-        patience = int(self.habit.patience * self.deadlines[request.lane])
+        patience = int(self.behaviour.patience * self.deadlines[request.lane])
         self.loop.at(min(now + patience, hand.until), self._waited, t)
-        if self.habit.copies and not request.keyed and not hand.copied and peer.latency:
+        if self.behaviour.copies and not request.keyed and not hand.copied and peer.latency:
             self.loop.after(int(COPY_AFTER * peer.latency * 1000), self._copy, hand)
         self.network.send(self, t)
 
@@ -188,8 +188,8 @@
     def _again(self, hand: Hand) -> None:
         if hand.over or hand.open:  # a copy of it may still be answered
             return
-        habit = self.habit
-        if habit.retry == "none" or (habit.retry == "budget" and not self.budget.take()):
+        behaviour = self.behaviour
+        if behaviour.retry == "none" or (behaviour.retry == "budget" and not self.budget.take()):
             self._finish(hand, hand.last, b"")
         elif hand.home:
             hand.returns += 1
@@ -223,7 +223,7 @@
             self._finish(hand, "served", answer.body)
         elif answer.verdict is Verdict.REFUSED:
             hand.last = "refused"
-            if answer.giveup and self.habit.heeds:
+            if answer.giveup and self.behaviour.follows_feedback:
                 self._finish(hand, "refused", b"")
             else:
                 self._again(hand)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -14,7 +14,7 @@
 from lemonway.kit.emulator.routing.limits import RetryBudget, Throttle
 from lemonway.kit.emulator.routing.peers import Peer
 from lemonway.kit.emulator.routing.picks import Picker
-from lemonway.kit.emulator.routing.router import Habit, Router
+from lemonway.kit.emulator.routing.router import Router, RouterBehaviour
 from lemonway.kit.emulator.service import Asked, Goal, serve
 from lemonway.kit.emulator.state.cores import Cores, Warmth
 from lemonway.kit.emulator.state.machine import Build, Machine
@@ -350,7 +350,7 @@
 
     def test_what_closes_a_peer_and_for_whom(self) -> None:
         now = 100
-        for name, fields, rank, heeds, ejects, checks, is_open in [
+        for name, fields, rank, follows_feedback, ejects, checks, is_open in [
             ("nothing", {}, 0.1, True, True, True, True),
             ("its level", {"level": 0.5, "level_until": 200}, 0.4, True, False, False, False),
             ("a rank at its level", {"level": 0.5, "level_until": 200}, 0.5, True, False, False, True),
@@ -364,7 +364,8 @@
             ("bad checks", {"checks_bad": 2}, 0.9, True, False, True, False),
         ]:
             with self.subTest(name):
-                self.assertEqual(Peer("n", 0, **fields).open_to(now, rank, heeds, ejects, checks), is_open)  # type: ignore[arg-type]
+                peer = Peer("n", 0, **fields)  # type: ignore[arg-type]
+                self.assertEqual(peer.open_to(now, rank, follows_feedback, ejects, checks), is_open)
 
     def test_failures_in_a_row_leave_a_peer_out_longer_each_time(self) -> None:
         peer = Peer("n", 0)
@@ -417,7 +418,7 @@
 
 
 class Routers(unittest.TestCase):
-    def play(self, words: list[str], keyed: bool = False, **habit: Any) -> tuple[list[str], list[str]]:
+    def play(self, words: list[str], keyed: bool = False, **behaviour: Any) -> tuple[list[str], list[str]]:
         loop = Loop()
         service = AnnounceService(loop, ["n0", "n1", "n2"])
         service.up = False  # nothing lapses
@@ -425,21 +426,22 @@
         for name in ("n0", "n1", "n2"):
             service.seed(name)
         wire, ends, numbers = Wire(loop, words), list[str](), iter(range(1, 99))
-        router = Router(loop, 1, Habit(**habit), view, wire, Uniform(Streams(1)["r"]), lambda: next(numbers),
-                        [10 * SECOND], SECOND)
+        router = Router(loop, 1, RouterBehaviour(**behaviour), view, wire, Uniform(Streams(1)["r"]),
+                        lambda: next(numbers), [10 * SECOND], SECOND)
         router.submit(request(keyed=keyed), START + 10 * SECOND, lambda r, word, body: ends.append(word))
         loop.run(START + 20 * SECOND)
         return [node for _, node in wire.sent], ends
 
     def test_ways_of_a_request(self) -> None:
         walk = {"retry": "unlimited"}
-        for name, words, keyed, habit, nodes, end in [
+        for name, words, keyed, behaviour, nodes, end in [
             ("served", ["ok"], False, walk, ["n1"], "served"),
             ("on through the list", ["no", "no", "ok"], False, walk, ["n1", "n2", "n0"], "served"),
             ("the list has an end", ["no"], False, walk, ["n1", "n2", "n0"], "refused"),
             ("no retry", ["no"], False, {}, ["n1"], "refused"),
             ("the wish that no other be tried", ["giveup"], False, walk, ["n1"], "refused"),
-            ("that wish not heeded", ["giveup", "ok"], False, {"heeds": False, **walk}, ["n1", "n2"], "served"),
+            ("that wish not heeded", ["giveup", "ok"], False, {"follows_feedback": False, **walk}, ["n1", "n2"],
+             "served"),
             ("a refused connection", ["unsent", "ok"], True, walk, ["n1", "n2"], "served"),
             ("keyed, refused: never ran", ["no", "ok"], True, walk, ["n1", "n2"], "served"),
             ("keyed, broken: back to its node", ["broken", "ok"], True, walk, ["n1", "n1"], "served"),
@@ -451,7 +453,7 @@
             ("silence to the end", ["silent"], False, walk, ["n1"], "late"),
         ]:
             with self.subTest(name):
-                self.assertEqual(self.play(words, keyed, **habit), (nodes, [end]))  # type: ignore[arg-type]
+                self.assertEqual(self.play(words, keyed, **behaviour), (nodes, [end]))  # type: ignore[arg-type]
 
 
 class Scenarios(unittest.TestCase):
