--- a/lemonway/kit/live/door.py
+++ b/lemonway/kit/live/ingress.py
@@ -1,6 +1,6 @@
-"""The way into a machine: routers connect here, and each of their connections has one to the node behind it. What
-comes is read on the machine's cores before the node has it, gets the time at which it came, and is told to the
-machine's life; so is each answer. It must not judge what passes."""
+"""The ingress proxy of a machine: routers connect here, and each of their connections has one to the node behind it.
+What comes is read on the machine's cores before the node has it, gets its arrival time, and is told to the machine's
+life; so is each answer. It must not judge what passes."""
 
 from __future__ import annotations
 
@@ -16,20 +16,20 @@
 from .clock import RealLoop
 from .part import Dial
 
-DOOR = re.compile(rb"door=\d+")
+ARRIVAL_FIELD = re.compile(rb"door=\d+")
 CROSSING = 50_000  # microseconds within which a request may cross the close of its connection (PROTOCOL)
 SEND_BUFFER = 16 * 1024  # bytes of a connection's own to the node: past these, a node that does not read shows
 
 
-class Behind(Protocol):
-    """The life behind a door."""
+class ProxiedLife(Protocol):
+    """The life behind an ingress proxy."""
 
     loop: RealLoop
     dead: bool
     address: tuple[str, int]
-    sides: dict[DoorSide, None]
+    sides: dict[IngressConnection, None]
 
-    def came(self, side: DoorSide, tag: int, items: list[bytes]) -> None:
+    def came(self, side: IngressConnection, tag: int, items: list[bytes]) -> None:
         """A request has come; its items as the router wrote them."""
 
     def answered_by(self, t: Try, items: list[bytes]) -> None:
@@ -52,19 +52,19 @@
     """The connection to the node."""
 
     def dataReceived(self, data: bytes) -> None:
-        door: DoorSide = self.client  # type: ignore[assignment]
-        door.life.loop.catch_up()
+        ingress: IngressConnection = self.client  # type: ignore[assignment]
+        ingress.life.loop.catch_up()
         try:
             super().dataReceived(data)
         except (ValueError, IndexError) as error:
-            door.broken(f"an answer that can't be read: {error}")
+            ingress.broken(f"an answer that can't be read: {error}")
 
 
-class DoorSide(RouterSide):
+class IngressConnection(RouterSide):
     """A router's connection; also the client (``RouterSide.client``) of the one to the node, of which it sees answers
     by ``received``. ``side`` is that connection, None until it is up."""
 
-    def __init__(self, life: Behind) -> None:
+    def __init__(self, life: ProxiedLife) -> None:
         super().__init__(self)  # type: ignore[arg-type]
         self.life = life
         self.node: NodeSide | None = None
@@ -109,14 +109,14 @@
 
     # towards the node
 
-    def pass_on(self, tag: int, t: Try, items: list[bytes], door_ms: int) -> bool:
+    def pass_on(self, tag: int, t: Try, items: list[bytes], arrival_ms: int) -> bool:
         """Write a request that has been read to the node. False if there is no node to write to any more."""
         self.reading.pop(tag, None)
         if self.ended or t.forgiven:
             return False
         self.open[tag] = t
         t.written = self.life.loop.now
-        fields = DOOR.sub(b"door=%d" % door_ms, items[3], count=1)
+        fields = ARRIVAL_FIELD.sub(b"door=%d" % arrival_ms, items[3], count=1)
         self.write(RouterClient.frame(items[0], items[1], items[2], fields, *items[4:]))
         return True
 
@@ -210,14 +210,14 @@
 class Choke:
     """Told by the transport when the node does not take what is written."""
 
-    def __init__(self, door: DoorSide) -> None:
-        self.door = door
+    def __init__(self, ingress: IngressConnection) -> None:
+        self.ingress = ingress
 
     def pauseProducing(self) -> None:
-        self.door.blocked_since = self.door.life.loop.real()
+        self.ingress.blocked_since = self.ingress.life.loop.real()
 
     def resumeProducing(self) -> None:
-        self.door.blocked_since = 0
+        self.ingress.blocked_since = 0
 
     def stopProducing(self) -> None:
         """The connection is over."""
--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -1,5 +1,5 @@
-"""One life of a node as a process of its own: ``python -m lemonway`` under its limits, between its machine's door, its
-pool's link and the audit. The models are ``node.Life``'s; here they meet sockets and signals."""
+"""One life of a node as a process of its own: ``python -m lemonway`` under its limits, between its machine's
+ingress proxy, its pool's link and the audit. The models are ``node.Life``'s; here they meet sockets and signals."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 from .acervo import Port, number_of
 from .clock import RealLoop
 from .config import node_json
-from .door import DoorSide
+from .ingress import IngressConnection
 from .reconcile import parse
 
 ROOT = Path(__file__).parents[3]
@@ -152,7 +152,7 @@
         self.address = self.host.address(self.name)
         self.machine.keys = lambda: 0  # on sockets, what a node keeps of keys sits in its own memory (PROTOCOL)
         self.turns = Turns(self.loop, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
-        self.sides: dict[DoorSide, None] = {}
+        self.sides: dict[IngressConnection, None] = {}
         self.callers: set[int] = set()
         self.seen: Counter[str] = Counter()
         self.causes: set[str] = set()
@@ -219,9 +219,9 @@
         """Its counters have come."""
         self.host.counted(self)
 
-    # requests: what the door brings
+    # requests: what the ingress proxy brings
 
-    def came(self, side: DoorSide, tag: int, items: list[bytes]) -> None:
+    def came(self, side: IngressConnection, tag: int, items: list[bytes]) -> None:
         fields = dict(pair.split(b"=", 1) for pair in items[3].split(b","))
         request = self.host.by_number[number_of(items[4] if len(items) > 4 else b"")]
         now, router = self.loop.now, int(fields[b"lb"])
@@ -348,7 +348,7 @@
 class _Reading:
     """A request that is being read: where it came from, as ``Life`` hands it on. No router stands behind it here."""
 
-    def __init__(self, side: DoorSide, tag: int, items: list[bytes]) -> None:
+    def __init__(self, side: IngressConnection, tag: int, items: list[bytes]) -> None:
         self.side, self.tag, self.items = side, tag, items
 
 
--- a/lemonway/kit/live/machines.py
+++ b/lemonway/kit/live/machines.py
@@ -1,5 +1,5 @@
-"""The first tier's machines as a process: each with its cores, its pool, its door and its node, which is a process of
-its own. It keeps the nodes (starts, kills, drains, replaces) and plays the day's faults on them."""
+"""The first tier's machines as a process: each with its cores, its pool, its ingress proxy and its node, which is a
+process of its own. It keeps the nodes (starts, kills, drains, replaces) and plays the day's faults on them."""
 
 from __future__ import annotations
 
@@ -12,29 +12,29 @@
 from ..emulator.node import Life
 from ..emulator.virtual import START
 from .acervo import Port
-from .door import DoorSide
+from .ingress import IngressConnection
 from .life import LiveLife, PoolPorts
 from .part import Control, Fault, Part
 from .reconcile import differences
 from .watch import Row, Usage, usage_of
 
 SLACK = 50_000  # microseconds by which each time limit is longer on sockets (PROTOCOL, the rules on sockets)
-NODE_PORT, DOOR_PORT = 8443, 8442
+NODE_PORT, INGRESS_PORT = 8443, 8442
 STARTING = 2_000_000  # microseconds in which a new process may wait for a core: its start is told by itself
 UP_WAIT = 30_000_000  # microseconds in which all nodes must have come up (DEPLOY)
 QUIET_WAIT = 8_000_000  # after the day, until nothing is in hand any more
 SAID_WAIT = 3_000_000  # for the nodes' counters
 
 
-class Door:
+class IngressFactory:
     """One machine's address for routers; connections go to the life that is there now."""
 
     def __init__(self, world: MachinesWorld, name: str) -> None:
         self.world, self.name = world, name
 
-    def buildProtocol(self, addr: object) -> DoorSide | None:
+    def buildProtocol(self, addr: object) -> IngressConnection | None:
         life = self.world.life_of(self.name)
-        return DoorSide(life) if isinstance(life, LiveLife) else None
+        return IngressConnection(life) if isinstance(life, LiveLife) else None
 
 
 class MachinesWorld(World):
@@ -54,7 +54,7 @@
         self.pools = {name: PoolPorts(self, name) for name in self.tiers[0]}
         self.pool_ports = {name: Port(part, self.pools[name]) for name in self.tiers[0]}
         self.moves = dict.fromkeys(self.tiers[0], 0)  # which of two addresses its peers have
-        self.doors: dict[str, Any] = dict.fromkeys(self.tiers[0])  # the listening ports of those that are open
+        self.ingress_ports: dict[str, Any] = dict.fromkeys(self.tiers[0])  # the listening ports of those that are open
         self.faults: list[str] = []  # what the nodes counted otherwise
         self.reconciled = self.unreadable = 0
         self.starts: list[int] = []  # microseconds that processes took to come up
@@ -68,8 +68,8 @@
     # addresses
 
     def address(self, name: str) -> tuple[str, int]:
-        """Where a node listens: each has a loopback address to itself, for its door as well, so that no other socket of
-        the system can take a port while it is closed."""
+        """Where a node listens: each has a loopback address to itself, for its ingress proxy as well, so that no other
+        socket of the system can take a port while it is closed."""
         number = self.tiers[0].index(name) + 1
         first = self.part.host.rsplit(".", 1)[0]
         head, third = first.rsplit(".", 1)
@@ -83,21 +83,21 @@
         """The announce service's address, as this node has it."""
         return self.reports[self.moves[name]]
 
-    # doors
+    # ingress proxies
 
     def open(self, life: LiveLife) -> None:
         """It is up: let routers in."""
         self.starts.append(life.begun_after)
-        if not life.dead and self.doors[life.name] is None:
+        if not life.dead and self.ingress_ports[life.name] is None:
             host, _ = self.address(life.name)
-            self.doors[life.name] = self.part.listen(Door(self, life.name), host, DOOR_PORT)
+            self.ingress_ports[life.name] = self.part.listen(IngressFactory(self, life.name), host, INGRESS_PORT)
         self.part.came_up()
 
     def close(self, life: LiveLife) -> None:
-        self._close_door(life.name)
+        self._close_ingress(life.name)
 
-    def _close_door(self, name: str) -> None:
-        port, self.doors[name] = self.doors[name], None
+    def _close_ingress(self, name: str) -> None:
+        port, self.ingress_ports[name] = self.ingress_ports[name], None
         if port is not None:
             port.stopListening()
 
@@ -158,7 +158,7 @@
         self._quiet_by = 0
 
     def ready(self) -> None:
-        self.say(ready={"doors": {name: [self.world.address(name)[0], DOOR_PORT] for name in self.world.tiers[0]}})
+        self.say(ready={"ingress": {name: [self.world.address(name)[0], INGRESS_PORT] for name in self.world.tiers[0]}})
 
     def prepare(self, order: dict[str, Any]) -> None:
         self.world.reports, self.world.catalogues = order["reports"], order["catalogue"]
--- a/lemonway/kit/live/routers.py
+++ b/lemonway/kit/live/routers.py
@@ -1,5 +1,5 @@
 """Clients and routers as a process: the day's schedule, drawn ahead, and the emulator's routers on real connections to
-the machines' doors. It waits for nothing: each request is asked at its time, and its times count from then."""
+the machines. It waits for nothing: each request is asked at its time, and its times count from then."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class LiveCaller(Caller):
-    """A connection to a door. What waits for it goes out as soon as it is up."""
+    """A connection to a machine. What waits for it goes out as soon as it is up."""
 
     _side: RouterSide | None = None
 
@@ -52,7 +52,7 @@
 
 
 class LiveLink(WireLink):
-    """A router's connections to one machine, whichever life is behind its door."""
+    """A router's connections to one machine, whichever life is there."""
 
     caller = LiveCaller
 
@@ -181,7 +181,7 @@
 
     def prepare(self, order: dict[str, Any]) -> None:
         self.fars = {name: Far(name, (host, port), self.loop, self.world.settings[0])
-                     for name, (host, port) in order["doors"].items()}
+                     for name, (host, port) in order["ingress"].items()}
         roads = Roads(self)
         for router in self.world.routers:
             router.network = roads
--- a/lemonway/kit/live/supervisor.py
+++ b/lemonway/kit/live/supervisor.py
@@ -166,7 +166,7 @@
         self.parts["machines"].order(
             {"do": "prepare", "reports": announce["reports"], "catalogue": acervo["catalogue"]})
         self.parts["routers"].order(
-            {"do": "prepare", "doors": ready["machines"]["doors"], "feed": announce["feed"]})
+            {"do": "prepare", "ingress": ready["machines"]["ingress"], "feed": announce["feed"]})
         await self._all("up", START_WAIT)
         log.info("%d nodes are up", self.scenario.fleet.nodes)
         at = START + time.monotonic_ns() // 1000 - zero + int(LEAD * 1e6)
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -27,7 +27,7 @@
 from lemonway.kit.emulator.virtual import START
 from lemonway.kit.live import placement, reconcile, watch
 from lemonway.kit.live.clock import RealLoop
-from lemonway.kit.live.door import DoorSide
+from lemonway.kit.live.ingress import IngressConnection
 from lemonway.kit.live.part import Serve
 from lemonway.kit.live.supervisor import KitError, play_live
 from lemonway.kit.live.watch import Bounds, Row, judge
@@ -199,7 +199,8 @@
         loop = RealLoop(reactor, time.monotonic_ns() // 1000, lambda error: self.fail(str(error)))
         life: Any = mock.Mock(loop=loop, dead=False, address=silent.getsockname(), sides={})
         life.came = lambda side, tag, items: side.write(RouterClient.frame(*items))
-        port = reactor.listenTCP(0, Serve(mock.Mock(buildProtocol=lambda addr: DoorSide(life))), interface="127.0.0.1")
+        factory = mock.Mock(buildProtocol=lambda addr: IngressConnection(life))
+        port = reactor.listenTCP(0, Serve(factory), interface="127.0.0.1")
         router = RouterClient(reactor, port.getHost().port)
         end = time.monotonic() + 20
         while not any(side.blocked_since for side in life.sides) and time.monotonic() < end:
