Call the time at which a try comes to an emulated machine its arrival

Change, by script: Try.arrived_at and arrived_unix_ms, Run.arrived_at; the field 'door' of the wire and 'door_us' of traces stay, translated where they are written.

--- a/lemonway/kit/emulator/audit.py
+++ b/lemonway/kit/emulator/audit.py
@@ -65,15 +65,15 @@
 
     def read(self, book: LifeBook, t: Try, now: int) -> None:
         t.read = now
-        t.due = max(t.door + self.deadlines[t.request.lane], now)
+        t.due = max(t.arrived_at + self.deadlines[t.request.lane], now)
         t.note(now, "read")
         book.tries.append(t)
 
     def began(self, book: LifeBook, t: Try, now: int) -> None:
         t.runs += 1
         t.note(now, "run")
-        if book.drained >= 0 and t.door > book.drained + self.drain_grace:
-            late = (t.door - book.drained) / 1e6
+        if book.drained >= 0 and t.arrived_at > book.drained + self.drain_grace:
+            late = (t.arrived_at - book.drained) / 1e6
             self.breach("drain", book, now, f"run though it came {late:.3f} s after the notice to leave", t)
         request = t.request
         if not request.keyed:
@@ -81,7 +81,7 @@
         if t.answered >= 0 and t.verdict == Verdict.REFUSED.value:
             self.breach("duplicate", book, now, "run after its refusal", t)
         before = book.ran.get(request.unique)
-        if before is not None and t.door <= before.door + self.windows[request.lane]:
+        if before is not None and t.arrived_at <= before.arrived_at + self.windows[request.lane]:
             what = "the same try" if before is t else f"try {before.txn}"
             self.breach("duplicate", book, now, f"run twice within its window: {what} ran before", t)
         book.ran[request.unique] = t
@@ -105,7 +105,7 @@
         request = t.request
         if verdict is Verdict.REFUSED and request.keyed:
             ran = book.ran.get(request.unique)
-            if ran is not None and (ran is t or t.door <= ran.door + self.windows[request.lane]):
+            if ran is not None and (ran is t or t.arrived_at <= ran.arrived_at + self.windows[request.lane]):
                 self.breach("duplicate", book, now, "refused after a run of its key", t)
         if verdict is Verdict.SERVED:
             made = request.unique in book.made if request.keyed else t.txn in book.made_txn
--- a/lemonway/kit/emulator/node.py
+++ b/lemonway/kit/emulator/node.py
@@ -175,8 +175,8 @@
         if link is None:
             link = self._open(router, delay)
             cost += HANDSHAKE
-        t.door = self.loop.now
-        t.note(t.door, "came")
+        t.arrived_at = self.loop.now
+        t.note(t.arrived_at, "came")
         self.known[t.txn] = self.by_tag[t.number] = self.open[t.number] = t
         self.totals.tries += 1
         self.machine.read(cost, lambda: self._read(link, t, cost))
@@ -198,7 +198,7 @@
         request = t.request
         self.turns.begin()
         t.ident = self.core.submit(Incoming(
-            link, t.number, t.txn, request.lane, request.tenant, t.door, t.body, link.router.number, request.hint,
+            link, t.number, t.txn, request.lane, request.tenant, t.arrived_at, t.body, link.router.number, request.hint,
             request.ram, request.rank, request.unique, request.item,
         ))
 
--- a/lemonway/kit/emulator/replica_history.py
+++ b/lemonway/kit/emulator/replica_history.py
@@ -17,13 +17,13 @@
 
 @dataclass
 class Run:
-    """A key that a node ran. ``door``: when its try came, on the node's own clock."""
+    """A key that a node ran. ``arrived_at``: when its try came, on the node's own clock."""
 
     key: str
     node: str
     life: int
     at: int
-    door: int
+    arrived_at: int
     body: bytes
     answered_at: int = -1
 
@@ -82,7 +82,7 @@
         several.sort(key=lambda run: run.at)
         broken += [f"{key}: run at {b.at} us by {b.node}/{b.life} inside the window of the run at {a.at} by "
                    f"{a.node}/{a.life}" for a, b in zip(several, several[1:], strict=False)
-                   if b.door <= a.door + mix.window]
+                   if b.arrived_at <= a.arrived_at + mix.window]
     return broken
 
 
--- a/lemonway/kit/emulator/report.py
+++ b/lemonway/kit/emulator/report.py
@@ -116,7 +116,7 @@
         yield json.dumps({
             "try": t.number, "request": r.number, "node": t.node, "router": t.router, "class": r.lane,
             "tenant": r.tenant, "key": r.unique, "work_ms": _round(r.work), "sent_us": t.sent - START,
-            "door_us": t.door - START, "due_us": t.due - START if t.due >= 0 else None, "verdict": t.verdict,
+            "door_us": t.arrived_at - START, "due_us": t.due - START if t.due >= 0 else None, "verdict": t.verdict,
             "life": [[at - START, what] for at, what in t.log],
         }, sort_keys=True)
 
--- a/lemonway/kit/emulator/requests.py
+++ b/lemonway/kit/emulator/requests.py
@@ -52,7 +52,7 @@
     work: float
     wait: int
     calls: int
-    door: int = -1  # when it came to the machine
+    arrived_at: int = -1  # when it came to the machine
     read: int = -1
     due: int = -1
     answered: int = -1
@@ -65,7 +65,7 @@
     ident: int = 0  # the core's own number
     written: int = 0  # when its last byte was
     resent: bool = False
-    door_unix: int = 0  # milliseconds
+    arrived_unix_ms: int = 0
     log: list[tuple[int, str]] = field(default_factory=list)
 
     def note(self, now: int, what: str) -> None:
--- a/lemonway/kit/emulator/wire/life.py
+++ b/lemonway/kit/emulator/wire/life.py
@@ -70,7 +70,7 @@
         return WireLink(self, router, delay)  # type: ignore[return-value]
 
     def _submit(self, link: Any, t: Try) -> None:
-        t.door_unix = (t.door * 1000 - self.loop.monotonic_ns() + self.loop.unix_ns()) // 1_000_000
+        t.arrived_unix_ms = (t.arrived_at * 1000 - self.loop.monotonic_ns() + self.loop.unix_ns()) // 1_000_000
         link.call(t)
 
     def _check(self, link: Any, tag: int) -> None:
--- a/lemonway/kit/emulator/wire/peers.py
+++ b/lemonway/kit/emulator/wire/peers.py
@@ -131,7 +131,7 @@
         caller.open[t.number] = t
         t.written = self.life.loop.now
         r, life = t.request, self.life
-        fields = [f"txn={t.txn}", f"door={t.door_unix}", f"lb={self.router.number}", f"ram={r.ram:.3f}",
+        fields = [f"txn={t.txn}", f"door={t.arrived_unix_ms}", f"lb={self.router.number}", f"ram={r.ram:.3f}",
                   f"standing={min(r.rank, 0.9999):.4f}"]
         if life.teams:
             fields.append(f"team={life.teams[r.tenant]}")
--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -232,8 +232,8 @@
         if router not in self.callers:
             self.callers.add(router)
             cost += HANDSHAKE
-        t.door = now
-        t.door_unix = self.loop.unix_now() // 1_000_000
+        t.arrived_at = now
+        t.arrived_unix_ms = self.loop.unix_now() // 1_000_000
         t.note(now, "came")
         self.known[t.txn] = self.open[t.number] = t
         side.reading[tag] = t
@@ -242,7 +242,7 @@
         self.machine.read(cost, lambda: self._read(link, t, cost))
 
     def _submit(self, link: Any, t: Try) -> None:
-        if link.side.pass_on(link.tag, t, link.items, t.door_unix):
+        if link.side.pass_on(link.tag, t, link.items, t.arrived_unix_ms):
             self.seen["requests"] += 1
         else:  # its connection has ended meanwhile
             t.forgiven = True
