--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -108,7 +108,7 @@
         self.bounds = bounds_of(SOCKETS, MEMORY_MB)
         self.calls_state = "ok"
         self.deadlines = [int(c.deadline_ms * 1000) for c in scenario.classes]
-        self.heeded = int(rules.heeded_ms * 1000)
+        self.feedback_hold = int(rules.heeded_ms * 1000)
         self.lives_begun: Counter[str] = Counter()
         self.doubles: Counter[str] = Counter()  # keyed requests that came once more, and what they got
         self.plumbing: Plumbing | None = None
@@ -218,7 +218,7 @@
         self.delays[number] = int(Uniform(self.streams[f"{name}/delay"]).between(low, high) * 1000)
         weights = {name: self.builds[name].cores * self.builds[name].speed for name in self.tiers[tier]}
         return Router(self.loop, number, behaviour, view, self.network, uniform, self.next_number,
-                      self.deadlines, self.heeded, weights)
+                      self.deadlines, self.feedback_hold, weights)
 
     # nodes
 
--- a/lemonway/kit/emulator/routing/peers.py
+++ b/lemonway/kit/emulator/routing/peers.py
@@ -32,10 +32,10 @@
     sent: int = 0
     answered: dict[str, int] = field(default_factory=dict)
 
-    def told(self, now: int, level: float | None, later_ms: int, heeded: int) -> None:
-        """An answer told how things are: the level holds for as long as the settings say it is heeded."""
+    def told(self, now: int, level: float | None, later_ms: int, feedback_hold: int) -> None:
+        """An answer told how things are: the level holds for ``feedback_hold`` microseconds."""
         if level is not None:
-            self.level, self.level_until = level, now + heeded
+            self.level, self.level_until = level, now + feedback_hold
             self.marked = True
         if later_ms:
             self.away_until = max(self.away_until, now + later_ms * 1000)
--- a/lemonway/kit/emulator/routing/router.py
+++ b/lemonway/kit/emulator/routing/router.py
@@ -19,7 +19,7 @@
 SAME_FIRST = 50_000  # microseconds before a keyed request that may have run goes back to its node, doubled each time
 SAME_MOST = 6  # such returns
 COPY_AFTER = 3.0  # times the mean time of answers after which a second copy of a safe request is sent
-DRAIN_HEEDED = 10_000_000  # microseconds for which a node that said DRAIN gets nothing new
+DRAIN_HOLD = 10_000_000  # microseconds for which a node that said DRAIN gets nothing new
 HOMES_MOST = 4096  # keyed requests whose node is remembered
 
 
@@ -65,12 +65,13 @@
 class Router:
     def __init__(
         self, loop: Loop, number: int, behaviour: RouterBehaviour, view: View, network: Network, uniform: Uniform,
-        number_try: Callable[[], int], deadlines: list[int], heeded: int, weights: dict[str, float] | None = None,
-        check_every: int = 1_000_000,
+        number_try: Callable[[], int], deadlines: list[int], feedback_hold: int,
+        weights: dict[str, float] | None = None, check_every: int = 1_000_000,
     ) -> None:
-        """``deadlines`` by class and ``heeded``, how long a told level holds, are microseconds."""
+        """``deadlines`` by class and ``feedback_hold``, how long a told level holds, are microseconds."""
         self.loop, self.number, self.behaviour, self.view, self.network = loop, number, behaviour, view, network
-        self.uniform, self.number_try, self.deadlines, self.heeded = uniform, number_try, deadlines, heeded
+        self.uniform, self.number_try = uniform, number_try
+        self.deadlines, self.feedback_hold = deadlines, feedback_hold
         self.peers = {name: Peer(name, place, (weights or {}).get(name, 1.0))
                       for place, name in enumerate(view.names)}
         self.pick = Picker(behaviour.pick, uniform)
@@ -212,7 +213,7 @@
 
     def answered(self, t: Try, answer: Answer) -> None:
         now, peer = self.loop.now, self.peers[t.node]
-        peer.told(now, answer.feedback, answer.later_ms, self.heeded)
+        peer.told(now, answer.feedback, answer.later_ms, self.feedback_hold)
         hand = self._over(t)
         if hand is None:
             return
@@ -252,7 +253,7 @@
 
     def drained(self, name: str) -> None:
         """The node has said that it leaves: nothing new goes there until it is on the list anew."""
-        self.peers[name].leaving(self.loop.now + DRAIN_HEEDED)
+        self.peers[name].leaving(self.loop.now + DRAIN_HOLD)
 
     def returned(self, name: str) -> None:
         """A connection to a new process under that name is open: what was known of the old one is void."""
@@ -269,4 +270,4 @@
     def checked(self, name: str, good: bool, feedback: float | None) -> None:
         peer = self.peers[name]
         peer.checked(good)
-        peer.told(self.loop.now, feedback, 0, self.heeded)
+        peer.told(self.loop.now, feedback, 0, self.feedback_hold)
