Call running requests on emulated cores their concurrency, not a crowd

Change, by script: Cores.concurrency, Task.is_request, most_concurrency; the line of a fall-over and the report's line for people say concurrency. The key 'crowd' of the figures stays. Tests: the word that is looked for follows.

--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -59,7 +59,7 @@
     keeper: Counter[str] = field(default_factory=Counter)
     doubles: Counter[str] = field(default_factory=Counter)
     totals: list[Totals] = field(default_factory=list)
-    most_crowd: float = 0.0
+    most_concurrency: float = 0.0
     most_memory: float = 0.0
     sizes: tuple[int, int] = (0, 0)
     policy: FleetPolicy | None = None
@@ -393,7 +393,7 @@
             s, self.streams.seed, service, requests, sorted(self.all_tries, key=lambda t: t.number), audit, self.books,
             self.keeper.happened, self.mix, self.capacity, self.loop.events, outcomes, routers,
             self.lost_counters[0], self.lost_counters[1], self.keeper.counters, self.doubles, self.totals,
-            max(m.most_crowd for m in self.machines.values()), max(m.most_memory for m in self.machines.values()),
+            max(m.most_concurrency for m in self.machines.values()), max(m.most_memory for m in self.machines.values()),
             (len(self.tiers[0]), len(self.tiers[1])), self.policy)
 
 
--- a/lemonway/kit/emulator/report.py
+++ b/lemonway/kit/emulator/report.py
@@ -99,7 +99,7 @@
         "keyed_again": dict(sorted(result.doubles.items())),
         "comings_and_goings": dict(sorted(result.keeper.items())),
         "work_ms": [{"run": _round(t.run), "read": _round(t.read), "runs": t.runs, "tries": t.tries} for t in totals],
-        "nearest_to_limits": {"crowd": _round(result.most_crowd), "memory": _round(result.most_memory)},
+        "nearest_to_limits": {"crowd": _round(result.most_concurrency), "memory": _round(result.most_memory)},
         "events": result.events,
         **({} if result.policy is None else {"policy": result.policy.figures()}),
     }
@@ -165,7 +165,7 @@
     if again := data["keyed_again"]:
         console.print("keyed requests that came again: " + ", ".join(f"{k} {v}" for k, v in again.items()))
     near = data["nearest_to_limits"]
-    console.print(f"nearest to the limits: crowd {_percent(near['crowd'])}, memory {_percent(near['memory'])}")
+    console.print(f"nearest to the limits: concurrency {_percent(near['crowd'])}, memory {_percent(near['memory'])}")
     if policy := data.get("policy"):
         for row in policy["changes"]:
             console.print(f"change {row['change']} proposed at {row['node']}: {row['outcome']}" + (
--- a/lemonway/kit/emulator/state/cores.py
+++ b/lemonway/kit/emulator/state/cores.py
@@ -45,12 +45,12 @@
 
 
 class Task:
-    """Some work on the cores. ``crowd`` counts it among the running requests that the rule on overload is about."""
+    """Some work on the cores. ``is_request``: it counts in the concurrency that the rule on overload is about."""
 
-    __slots__ = ("mark", "work", "over", "done", "crowd")
+    __slots__ = ("mark", "work", "over", "done", "is_request")
 
-    def __init__(self, mark: float, work: float, done: Callable[[], None], crowd: bool) -> None:
-        self.mark, self.work, self.done, self.crowd, self.over = mark, work, done, crowd, False
+    def __init__(self, mark: float, work: float, done: Callable[[], None], is_request: bool) -> None:
+        self.mark, self.work, self.done, self.is_request, self.over = mark, work, done, is_request, False
 
 
 class Cores:
@@ -63,9 +63,9 @@
         self.loop, self.count, self.speed, self.thrash, self.thrash_at = loop, count, speed, thrash, thrash_at
         self.warmth = warmth
         self.factor = 1.0  # of the speed, under a fault
-        self.tasks = self.crowd = 0  # on the cores now; those of them that are running requests
+        self.tasks = self.concurrency = 0  # on the cores now; those of them that are running requests
         self.given = 0.0  # standard milliseconds of work done for tasks, all in all
-        self.crowd_time = 0.0  # running requests on the cores x microseconds
+        self.concurrency_time = 0.0  # running requests on the cores x microseconds
         self._passed = 0.0  # work that a task present all along would have had
         self._rate = 0.0  # of it, a microsecond
         self._at = loop.now
@@ -84,7 +84,7 @@
         for _, _, task in self._heap:
             task.over = True
         self._heap.clear()
-        self.tasks = self.crowd = 0
+        self.tasks = self.concurrency = 0
         self.given, self._busy_mean = 0.0, 0.0
         if cold:
             self.warmth.cool(self.loop.now)
@@ -95,13 +95,13 @@
         self.factor = factor
         self._change()
 
-    def add(self, work: float, done: Callable[[], None], crowd: bool = True) -> Task:
+    def add(self, work: float, done: Callable[[], None], is_request: bool = True) -> Task:
         self._advance()
-        task = Task(self._passed + max(work, 1e-6), work, done, crowd)
+        task = Task(self._passed + max(work, 1e-6), work, done, is_request)
         self._order += 1
         heappush(self._heap, (task.mark, self._order, task))
         self.tasks += 1
-        self.crowd += crowd
+        self.concurrency += is_request
         self._change()
         return task
 
@@ -112,7 +112,7 @@
         self._advance()
         task.over = True
         self.tasks -= 1
-        self.crowd -= task.crowd
+        self.concurrency -= task.is_request
         self._change()
         return max(0.0, task.work - max(0.0, task.mark - self._passed))
 
@@ -121,9 +121,9 @@
         self._advance()
         return self._busy_mean
 
-    def crowd_until_now(self) -> float:
+    def concurrency_until_now(self) -> float:
         self._advance()
-        return self.crowd_time
+        return self.concurrency_time
 
     def _advance(self) -> None:
         gone = self.loop.now - self._at
@@ -136,7 +136,7 @@
             step = self._rate * gone
             self._passed += step
             self.given += step * self.tasks
-            self.crowd_time += self.crowd * gone
+            self.concurrency_time += self.concurrency * gone
 
     def _change(self) -> None:
         """The number of tasks or the speed is another: reckon the pace and when the first task is over."""
@@ -177,7 +177,7 @@
             if not task.over:
                 task.over = True
                 self.tasks -= 1
-                self.crowd -= task.crowd
+                self.concurrency -= task.is_request
                 over.append(task)
         self._change()
         for task in over:
--- a/lemonway/kit/emulator/state/machine.py
+++ b/lemonway/kit/emulator/state/machine.py
@@ -10,7 +10,7 @@
 from ..virtual import Loop
 from .cores import Cores, Warmth
 
-WATCH = 100_000  # microseconds between looks at the crowd on the cores
+WATCH = 100_000  # microseconds between looks at the concurrency on the cores
 
 
 @dataclass(frozen=True)
@@ -43,10 +43,10 @@
         self.keys: Callable[[], int] = lambda: 0
         self.up = False
         self.held_kb = self.running_kb = 0.0
-        self.most_crowd = self.most_memory = 0.0  # nearest to the limits, 1 = at them
+        self.most_concurrency = self.most_memory = 0.0  # nearest to the limits, 1 = at them
         self._reading = 0
         self._unread: deque[tuple[float, Callable[[], None]]] = deque()
-        self._crowds: deque[float] = deque(maxlen=max(1, build.fall_us // WATCH) + 1)
+        self._concurrency_times: deque[float] = deque(maxlen=max(1, build.fall_us // WATCH) + 1)
         self._life = 0
 
     def start(self, cold: bool) -> None:
@@ -55,7 +55,7 @@
         self.held_kb = self.running_kb = 0.0
         self._reading = 0
         self._unread.clear()
-        self._crowds.clear()
+        self._concurrency_times.clear()
         self.cores.reset(cold)
         self.loop.after(WATCH, self._watch, self._life)
 
@@ -85,7 +85,7 @@
                 self._read(*self._unread.popleft())
             done()
 
-        self.cores.add(work, over, crowd=False)
+        self.cores.add(work, over, is_request=False)
 
     @property
     def unread(self) -> int:
@@ -117,7 +117,7 @@
         if share > 1.0 and self.up:
             self.fell(f"memory: {share:.3f} of it needed")
 
-    # the crowd on the cores
+    # the concurrency on the cores
 
     def ceiling(self) -> float:
         """Running requests on the cores, in the mean, past which it falls over."""
@@ -127,13 +127,14 @@
     def _watch(self, life: int) -> None:
         if life != self._life or not self.up:
             return
-        self._crowds.append(self.cores.crowd_until_now())
-        if len(self._crowds) == self._crowds.maxlen and self.build.fall_multiple > 0:
-            mean = (self._crowds[-1] - self._crowds[0]) / (WATCH * (len(self._crowds) - 1))
+        times = self._concurrency_times
+        times.append(self.cores.concurrency_until_now())
+        if len(times) == times.maxlen and self.build.fall_multiple > 0:
+            mean = (times[-1] - times[0]) / (WATCH * (len(times) - 1))
             share = mean / self.ceiling()
-            self.most_crowd = max(self.most_crowd, share)
+            self.most_concurrency = max(self.most_concurrency, share)
             if share > 1.0:
-                self.fell(f"crowd: {mean:.1f} running on the cores in the mean, {self.ceiling():.1f} survived")
+                self.fell(f"concurrency: {mean:.1f} running on the cores in the mean, {self.ceiling():.1f} survived")
                 return
         self.loop.after(WATCH, self._watch, life)
 
--- a/lemonway/kit/emulator/state/pool.py
+++ b/lemonway/kit/emulator/state/pool.py
@@ -287,7 +287,7 @@
 
     def _verify(self, token: str) -> None:
         """The work of a deep check is done as a run's is."""
-        self.cores.add(1.0, lambda: self._answer(lambda: self.events.verified(token, not self.dead)), crowd=False)
+        self.cores.add(1.0, lambda: self._answer(lambda: self.events.verified(token, not self.dead)), is_request=False)
 
     def _answer(self, say: Callable[[], None]) -> None:
         """Something that is said once, on this link or not at all."""
--- a/lemonway/kit/live/acervo.py
+++ b/lemonway/kit/live/acervo.py
@@ -145,7 +145,7 @@
             "breaches": [{"rule": b.rule, "lines": b.lines(START + self.shift)} for b in audit.breaches],
             "checked": audit.checked, "counters": dict(world.lost_counters[1]), "total": vars(world.totals[1]),
             "strange_calls": sum(proxy.strange for proxy in world.callers.values()),
-            "crowd": max((world.machines[n].most_crowd for n in names), default=0.0),
+            "concurrency": max((world.machines[n].most_concurrency for n in names), default=0.0),
             "memory": max((world.machines[n].most_memory for n in names), default=0.0),
         })
 
--- a/lemonway/kit/live/machines.py
+++ b/lemonway/kit/live/machines.py
@@ -248,7 +248,7 @@
             "reconciled": world.reconciled, "unreadable": world.unreadable,
             "happened": [[h.at - self.shift, h.what] for h in world.keeper.happened],
             "keeper": dict(world.keeper.counters), "starts_ms": [us // 1000 for us in world.starts],
-            "crowd": max(world.machines[n].most_crowd for n in names),
+            "concurrency": max(world.machines[n].most_concurrency for n in names),
             "memory": max(world.machines[n].most_memory for n in names),
         }
         for life in world.lives():
--- a/lemonway/kit/live/supervisor.py
+++ b/lemonway/kit/live/supervisor.py
@@ -263,7 +263,7 @@
         result.nodes, result.below = Counter(machines["counters"]), Counter(acervo["counters"])
         result.keeper = Counter(machines["keeper"])
         result.happened = [Happening(at, what) for at, what in machines["happened"]]
-        result.most_crowd = max(machines["crowd"], acervo["crowd"])
+        result.most_concurrency = max(machines["concurrency"], acervo["concurrency"])
         result.most_memory = max(machines["memory"], acervo["memory"])
         rows = [row for part in results.values() for row in part["rows"]]
         return Outcome(
--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -127,7 +127,7 @@
             (ForgetfulCore, "duplicate", "run twice within its window", {"clients": {"doubles": 0.5}}),
             (LyingCore, "duplicate", "refused after a run of its key", again),
             (DeafToDrain, "drain", "read, and not answered before the process was stopped", {}),
-            (GreedyCore, "fall-over", "crowd: ", frail),
+            (GreedyCore, "fall-over", "concurrency: ", frail),
         ]:
             with self.subTest(core.__name__):
                 result = day(1, core, **more)  # type: ignore[arg-type]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -151,7 +151,7 @@
                 machine.hold(held)
                 self.assertEqual(len(fell), falls)
 
-    def test_crowd_in_the_mean_and_less_of_it_while_cold(self) -> None:
+    def test_concurrency_in_the_mean_and_less_of_it_while_cold(self) -> None:
         for runs, cold, falls in [(4, False, 0), (5, False, 1), (3, True, 1), (2, True, 0)]:
             with self.subTest(runs=runs, cold=cold):
                 machine, fell = self.machine(cold)
@@ -160,7 +160,7 @@
                 self.loop.run(START + 1_500_000)
                 self.assertEqual(len(fell), falls)
 
-    def test_reading_is_one_a_core_and_no_crowd(self) -> None:
+    def test_reading_is_one_a_core_and_no_concurrency(self) -> None:
         machine, fell = self.machine()
         done: list[int] = []
         for _ in range(4):
@@ -168,7 +168,7 @@
         self.assertEqual(machine.unread, 2)
         self.loop.run(START + 3 * SECOND)
         self.assertEqual([round(at / 1e5) for at in done], [1, 1, 2, 2])
-        self.assertEqual((machine.most_crowd, fell), (0.0, []))
+        self.assertEqual((machine.most_concurrency, fell), (0.0, []))
 
 
 class PoolEvents:
