--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -318,7 +318,7 @@
                 int(t.every_s * SECOND) if t.kind in REPEATED else 0, int(self.scenario.rules.stop_ms * 1000),
                 json.dumps(t.settings))
             lanes = [i for i, c in enumerate(self.scenario.classes) if c.name in t.classes]
-            museum = next((i for i, team in enumerate(self.scenario.tenants) if team.name == t.tenant), -1)
+            museum = next((i for i, tenant in enumerate(self.scenario.tenants) if tenant.name == t.tenant), -1)
             rows.append((plan, lanes, museum))
         return rows
 
--- a/lemonway/kit/emulator/service.py
+++ b/lemonway/kit/emulator/service.py
@@ -82,7 +82,7 @@
 def serve(asked: Sequence[Asked], goal: Goal, tenants: int, seconds: int, wasted: float) -> Service:
     """The figure and its parts. ``wasted`` is work done for answers that no client got, in the unit of
     ``Asked.work``."""
-    lanes, teams = [Sum() for _ in goal.aims], [Sum() for _ in range(tenants)]
+    lanes, tenant_sums = [Sum() for _ in goal.aims], [Sum() for _ in range(tenants)]
     rows, whole = [Sum() for _ in range(max(1, seconds))], Sum()
     work = 0.0
     fails = late_fails = 0
@@ -91,7 +91,7 @@
         work += a.work
         sums = [whole, lanes[a.lane], rows[min(a.at // SECOND, len(rows) - 1)]]
         if a.inside and a.tenant < tenants:
-            sums.append(teams[a.tenant])
+            sums.append(tenant_sums[a.tenant])
         for s in sums:
             s.asked += worth
             s.earned += earned
@@ -109,9 +109,10 @@
         if share < worst:
             worst, at = share, n
     worst_lane = min((s.share for s in lanes if s.count), default=1.0)
-    worst_team = min((s.share for s in teams if s.count), default=1.0)
+    worst_tenant = min((s.share for s in tenant_sums if s.count), default=1.0)
     waste = wasted / work if work > 0 else 0.0
     late_share = late_fails / fails if fails else 0.0
-    figure = (goal.whole * whole.share + goal.window * worst + goal.lane * worst_lane + goal.tenant * worst_team
+    figure = (goal.whole * whole.share + goal.window * worst + goal.lane * worst_lane + goal.tenant * worst_tenant
               - goal.waste * min(1.0, waste) - goal.late_fail * late_share)
-    return Service(figure, whole.share, worst, float(at), worst_lane, worst_team, waste, late_share, lanes, teams, rows)
+    return Service(figure, whole.share, worst, float(at), worst_lane, worst_tenant, waste, late_share, lanes,
+                   tenant_sums, rows)
--- a/lemonway/kit/emulator/wire/life.py
+++ b/lemonway/kit/emulator/wire/life.py
@@ -32,7 +32,7 @@
         assert isinstance(self.uniform, Uniform)
         self.moves = 0  # new addresses so far
         self.proxy_listener: Listener | None = None
-        self.teams = [team.name for team in self.settings.tenants]
+        self.tenant_names = [tenant.name for tenant in self.settings.tenants]
         router = proxies.get(self.name)
         reactor = NodeReactor(self.plumbing, self, self._datagram, lambda: self.die("left"), self._closed)
         config = Config(
--- a/lemonway/kit/emulator/wire/peers.py
+++ b/lemonway/kit/emulator/wire/peers.py
@@ -30,7 +30,7 @@
 
     name: str
     dead: bool
-    teams: list[str]
+    tenant_names: list[str]
     settings: Settings
     plumbing: Plumbing
 
@@ -133,8 +133,8 @@
         r, life = t.request, self.life
         fields = [f"txn={t.txn}", f"door={t.arrived_unix_ms}", f"lb={self.router.number}", f"ram={r.ram:.3f}",
                   f"standing={min(r.rank, 0.9999):.4f}"]
-        if life.teams:
-            fields.append(f"team={life.teams[r.tenant]}")
+        if life.tenant_names:
+            fields.append(f"team={life.tenant_names[r.tenant]}")
         if r.hint is not None:
             fields.append(f"cpu={r.hint:.2f}")
         if r.unique:
--- a/lemonway/kit/live/routers.py
+++ b/lemonway/kit/live/routers.py
@@ -91,7 +91,7 @@
 
     def __init__(self, name: str, address: tuple[str, int], loop: RealLoop, settings: Settings) -> None:
         self.name, self.address, self.loop, self.settings = name, address, loop, settings
-        self.teams = [team.name for team in settings.tenants]
+        self.tenant_names = [tenant.name for tenant in settings.tenants]
         self.plumbing = self
 
     def connect(self, where: object, caller: Caller, owner: object) -> None:
