--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from ...interface import Advice, Effect, Halt, Lane, Settings, Tenant
 from ...net.program.bounds import bounds_of
 from ...net.routing.core import Core
 from .audit import Audit, LifeBook
 from .clients import Clients
+from .fleet_draw import FleetDraw, router_behaviours
 from .membership import AnnounceService, View
 from .membership.policy import FleetPolicy
 from .node import MEMORY_MB, SOCKETS, CoreMaker, Life, Totals
@@ -22,10 +22,10 @@
 from .recovery.keeper import Happening, Keeper, Network
 from .requests import Request, Try
 from .routing.router import Router, RouterBehaviour
-from .scenario import Draw, Kind, Scenario, ScenarioError
+from .scenario import Draw, Scenario, ScenarioError
 from .service import Asked, Goal, Service, serve
-from .state.machine import Build, Machine
-from .traffic import HOLD_KB, Mix, draw_requests, mix_of, quotas
+from .state.machine import Machine
+from .traffic import Mix, draw_requests, mix_of
 from .virtual import START, Loop, Streams, Uniform
 from .wire.life import WireLife
 from .wire.pipes import Manners, Plumbing
@@ -33,8 +33,6 @@
 SECOND = 1_000_000
 TAIL = 5 * SECOND  # past the last deadline, for what is still to be told
 REPEATED = ("link", "reset", "reload", "pause")  # faults that strike each so many seconds
-METERS = ("cpu_busy", "runnable", "mem_used", "sockets")
-SPEED_LEAST, SPEED_MOST = 0.25, 4.0  # of its kind's mean, that one machine may draw
 
 
 @dataclass
@@ -90,12 +88,13 @@
         self.tiers = (front, [f"acervo-{n}" for n in range(below)])
         if not below:
             self.call_work = 0.0
-        self.builds: dict[str, Build] = {}
-        for tier, kinds in ((0, scenario.fleet.kinds), (1, scenario.acervo.kinds)):
-            self._draw_builds(self.tiers[tier], kinds, tier)
-        self.capacity = sum(b.cores * b.speed for b in self._of(0)) * 1000 / (
+        drawn = FleetDraw(scenario, self.streams, self.draw, self.mix, self.call_work)
+        first = drawn.builds(front, scenario.fleet.kinds, 0)
+        self.builds = first | drawn.builds(self.tiers[1], scenario.acervo.kinds, 1)
+        self.capacity = sum(b.cores * b.speed for b in first.values()) * 1000 / (
             self.mix.mean_work * (1.0 + self.reading))
-        self.settings = [self._settings(tier) for tier in (0, 1)]
+        self.settings = [drawn.settings(tier, names, self.builds, self.capacity)
+                         for tier, names in enumerate(self.tiers)]
         self.machines = {name: Machine(self.loop, name, self.builds[name]) for row in self.tiers for name in row}
         self.audits = [Audit(settings) for settings in self.settings]
         self.totals = [Totals(), Totals()]
@@ -122,88 +121,16 @@
         self.routers = self._make_routers()
         self.proxies = {name: self._make_proxy(name, n) for n, name in enumerate(front)} if below else {}
 
-    def _of(self, tier: int) -> list[Build]:
-        return [self.builds[name] for name in self.tiers[tier]]
-
     def next_number(self) -> int:
         self.number += 1
         return self.number
 
-    # drawing
-
-    def _draw_builds(self, names: list[str], kinds: tuple[Kind, ...], tier: int) -> None:
-        """Kinds go to machines by their shares, evenly spread; speeds vary within a kind."""
-        fleet, rules = self.scenario.fleet, self.scenario.rules
-        total = sum(kind.share for kind in kinds)
-        owed = [0.0] * len(kinds)
-        runs = self.draw("fleet.memory_runs", fleet.memory_runs)
-        hold = sum(HOLD_KB) / 2
-        room = self.draw("fleet.key_room", fleet.key_room)
-        keyed = sum(s for s, c in zip(self.mix.share, self.scenario.classes, strict=True) if c.effect == "keyed")
-        for name in names:
-            owed = [o + kind.share / total for o, kind in zip(owed, kinds, strict=True)]
-            pick = max(range(len(kinds)), key=lambda n: owed[n])
-            owed[pick] -= 1.0
-            kind = kinds[pick]
-            key = f"tier{tier}.{kind.name}"
-            speed, spread = self.draw(f"{key}.speed", kind.speed), self.draw(f"{key}.speed_cv", kind.speed_cv)
-            factor = float(self.streams[f"machine/{name}"].normal(1.0, spread)) if spread else 1.0
-            speed *= min(SPEED_MOST, max(SPEED_LEAST, factor))
-            cold_us = int(self.draw(f"{key}.cold_s", kind.cold_s) * SECOND)
-            memory = runs * kind.cores * fleet.run_factor * hold
-            work = self.mix.mean_work * (1.0 if tier == 0 else max(self.call_work, 0.01))
-            window_keys = kind.cores * speed * 1000 / work * keyed * rules.window_ms / 1000
-            self.builds[name] = Build(
-                kind.name, kind.cores, speed, self.draw(f"{key}.thrash", kind.thrash),
-                self.draw(f"{key}.thrash_at", kind.thrash_at), self.draw(f"{key}.cold_from", kind.cold_from), cold_us,
-                kind.cores * speed * cold_us / 2000 if kind.warm_by == "requests" else 0.0,
-                memory, fleet.run_factor, room * memory / window_keys if window_keys > 0 else 0.0,
-                rules.fall_multiple, int(rules.fall_ms * 1000))
-
-    def _settings(self, tier: int) -> Settings:
-        """What a node of a tier is told. It is told nothing that the operators' settings do not tell."""
-        s, rules = self.scenario, self.scenario.rules
-        builds = self._of(tier)
-        mean_keys = sum(b.kb_per_key for b in builds) / len(builds) if builds else 0.0
-        quota = quotas(s, self.capacity, self.draw)
-        cold = [(b.cold_from, b.cold_us) for b in self.builds.values()]
-        return Settings(
-            lanes=[Lane(c.name, c.aim_ms, 0.0, c.deadline_ms, Effect(c.effect), c.worth, c.late_worth,
-                        rules.window_ms, bool(self.call_work) and tier == 0) for c in s.classes],
-            tenants=[Tenant(t.name, quota[n], t.share) for n, t in enumerate(s.tenants)],
-            cores=builds[0].cores if builds else 1, memory_kb=min((b.memory_kb for b in builds), default=0.0),
-            run_factor=s.fleet.run_factor, kb_per_key=mean_keys, halt=Halt(rules.halt), advice=Advice.MIN_RANK,
-            advice_heeded=rules.heeded_ms, retry_after=rules.retry_after_ms > 0,
-            max_retry_after=rules.retry_after_ms, marks_retry=rules.marks_retry, caller_idle=15000.0,
-            callers=s.routers.count, tier=tier, fleet=max(1, len(builds)), meters=METERS,
-            below="next_hop" if self.call_work and tier == 0 else "off",
-            cold_time=max(us for _, us in cold) / 1000, cold_from=min(share for share, _ in cold),
-            crowd=rules.fall_multiple, crowd_window=rules.fall_ms, answer_grace=rules.answer_grace_ms,
-            drain_grace=rules.drain_grace_ms, worth_by_work=True, over_share_worth=Goal.beyond,
-            weight_whole=Goal.whole, weight_window=Goal.window, weight_class=Goal.lane, weight_tenant=Goal.tenant,
-            tick=5.0,
-        )
-
     # routers
 
     def _make_routers(self) -> list[Router]:
-        s = self.scenario.routers
-        total = sum(row.share for row in s.habits)
-        owed = [0.0] * len(s.habits)
-        owed_feedback = [0.0] * len(s.habits)  # by row: how many of its routers ought to follow feedback and don't yet
-        routers = []
-        for n in range(1, s.count + 1):
-            owed = [o + row.share / total for o, row in zip(owed, s.habits, strict=True)]
-            pick = max(range(len(s.habits)), key=lambda i: owed[i])
-            owed[pick] -= 1.0
-            row = s.habits[pick]
-            owed_feedback[pick] += row.heeds
-            follows_feedback = owed_feedback[pick] >= 0.5
-            owed_feedback[pick] -= follows_feedback
-            behaviour = RouterBehaviour(row.pick, row.retry, row.retry_share, row.patience, follows_feedback,
-                                        row.copies, row.checks, row.ejects, row.throttles)
-            routers.append(self._make_router(n, f"router/{n}", 0, behaviour, s.list_lag_s))
-        return routers
+        lag = self.scenario.routers.list_lag_s
+        return [self._make_router(n, f"router/{n}", 0, behaviour, lag)
+                for n, behaviour in enumerate(router_behaviours(self.scenario.routers), 1)]
 
     def _make_proxy(self, name: str, n: int) -> Router:
         return self._make_router(100_000 + n, f"proxy/{name}", 1, RouterBehaviour(self.scenario.acervo.pick),
