--- a/lemonway/epochs/lease.py
+++ b/lemonway/epochs/lease.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Mapping
 
+from ..quorum import majority_size
 from .register import Lists
 
 NEVER = -(1 << 62)
@@ -19,7 +20,7 @@
     """The latest moment that stamps of a majority of each list reach, or ``NEVER``."""
     least: int | None = None
     for each in lists:
-        need = len(each) // 2 + 1
+        need = majority_size(each)
         told = sorted((stamps[name] for name in each if name in stamps), reverse=True)
         if len(told) < need:
             return NEVER
--- a/lemonway/epochs/register.py
+++ b/lemonway/epochs/register.py
@@ -7,23 +7,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
+from ..quorum import can_recover as enough_to_recover
+from ..quorum import has_majority as majority
 from .messages import NO_BALLOT, Accepted, Ballot, Change, Lives, Nack, Promise
 
 Lists = tuple[tuple[str, ...], ...]  # the list of nodes in force, and while it changes the one before it too
 
-
-def majority(names: Iterable[str], lists: Lists) -> bool:
-    """Whether ``names`` hold a majority of each list."""
-    have = set(names)
-    return all(len(have.intersection(each)) > len(each) // 2 for each in lists)
-
-
-def enough_to_recover(names: Iterable[str], lists: Lists, name: str) -> bool:
-    """Whether these others meet every majority that ``name`` can have been part of, in each list."""
-    have = set(names) - {name}
-    return all(name not in each or len(have.intersection(each)) >= len(each) - len(each) // 2 for each in lists)
+__all__ = ["Lists", "Register", "Round", "enough_to_recover", "majority"]
 
 
 class Register:
@@ -79,8 +69,8 @@
         return made
 
     def counted(self) -> list[str]:
-        """Who has answered, and nobody among them knows that this answer's life is over. ``replication.claims.settled``
-        compares all with all, which suits a group of three; here all nodes of a fleet answer."""
+        """Who has answered, and nobody among them knows that this answer's life is over. As
+        ``quorum.has_current_majority``, which compares all with all; here all nodes of a fleet answer."""
         return [name for name, (life, _, _) in self.answers.items() if life >= self.newest.get(name, 0)]
 
     def _note(self, sender: str, life: int, lives: Lives, accepted: Ballot, value: Change | None) -> None:
