--- a/lemonway/kit/emulator/report.py
+++ b/lemonway/kit/emulator/report.py
@@ -99,7 +99,7 @@
         "keyed_again": dict(sorted(result.doubles.items())),
         "comings_and_goings": dict(sorted(result.keeper.items())),
         "work_ms": [{"run": _round(t.run), "read": _round(t.read), "runs": t.runs, "tries": t.tries} for t in totals],
-        "nearest_to_limits": {"crowd": _round(result.most_crowd), "memory": _round(result.most_memory)},
+        "nearest_to_limits": {"crowd": _round(result.most_concurrency), "memory": _round(result.most_memory)},
         "events": result.events,
         **({} if result.policy is None else {"policy": result.policy.figures()}),
     }
@@ -116,7 +116,7 @@
         yield json.dumps({
             "try": t.number, "request": r.number, "node": t.node, "router": t.router, "class": r.lane,
             "tenant": r.tenant, "key": r.unique, "work_ms": _round(r.work), "sent_us": t.sent - START,
-            "door_us": t.door - START, "due_us": t.due - START if t.due >= 0 else None, "verdict": t.verdict,
+            "door_us": t.arrived_at - START, "due_us": t.due - START if t.due >= 0 else None, "verdict": t.verdict,
             "life": [[at - START, what] for at, what in t.log],
         }, sort_keys=True)
 
@@ -165,7 +165,7 @@
     if again := data["keyed_again"]:
         console.print("keyed requests that came again: " + ", ".join(f"{k} {v}" for k, v in again.items()))
     near = data["nearest_to_limits"]
-    console.print(f"nearest to the limits: crowd {_percent(near['crowd'])}, memory {_percent(near['memory'])}")
+    console.print(f"nearest to the limits: concurrency {_percent(near['crowd'])}, memory {_percent(near['memory'])}")
     if policy := data.get("policy"):
         for row in policy["changes"]:
             console.print(f"change {row['change']} proposed at {row['node']}: {row['outcome']}" + (
--- a/lemonway/kit/emulator/wire/life.py
+++ b/lemonway/kit/emulator/wire/life.py
@@ -32,7 +32,7 @@
         assert isinstance(self.uniform, Uniform)
         self.moves = 0  # new addresses so far
         self.proxy_listener: Listener | None = None
-        self.teams = [team.name for team in self.settings.tenants]
+        self.tenant_names = [tenant.name for tenant in self.settings.tenants]
         router = proxies.get(self.name)
         reactor = NodeReactor(self.plumbing, self, self._datagram, lambda: self.die("left"), self._closed)
         config = Config(
@@ -70,7 +70,7 @@
         return WireLink(self, router, delay)  # type: ignore[return-value]
 
     def _submit(self, link: Any, t: Try) -> None:
-        t.door_unix = (t.door * 1000 - self.loop.monotonic_ns() + self.loop.unix_ns()) // 1_000_000
+        t.arrived_unix_ms = (t.arrived_at * 1000 - self.loop.monotonic_ns() + self.loop.unix_ns()) // 1_000_000
         link.call(t)
 
     def _check(self, link: Any, tag: int) -> None:
--- a/lemonway/kit/live/supervisor.py
+++ b/lemonway/kit/live/supervisor.py
@@ -166,7 +166,7 @@
         self.parts["machines"].order(
             {"do": "prepare", "reports": announce["reports"], "catalogue": acervo["catalogue"]})
         self.parts["routers"].order(
-            {"do": "prepare", "doors": ready["machines"]["doors"], "feed": announce["feed"]})
+            {"do": "prepare", "ingress": ready["machines"]["ingress"], "feed": announce["feed"]})
         await self._all("up", START_WAIT)
         log.info("%d nodes are up", self.scenario.fleet.nodes)
         at = START + time.monotonic_ns() // 1000 - zero + int(LEAD * 1e6)
@@ -263,7 +263,7 @@
         result.nodes, result.below = Counter(machines["counters"]), Counter(acervo["counters"])
         result.keeper = Counter(machines["keeper"])
         result.happened = [Happening(at, what) for at, what in machines["happened"]]
-        result.most_crowd = max(machines["crowd"], acervo["crowd"])
+        result.most_concurrency = max(machines["concurrency"], acervo["concurrency"])
         result.most_memory = max(machines["memory"], acervo["memory"])
         rows = [row for part in results.values() for row in part["rows"]]
         return Outcome(
