Ask the catalogue whether a run still waits where a link broke over its reply

Seen: the known red test LinkLost.test_a_reply_that_may_have_come: a reply said again over a new pool link reached the run's next call. Ruled out: telling by the link alone. The pool is silent between a reply and the run's next notice, `supply` names the run and not the call, `unknown` is said of requests that never came, polls carry gauges, and `spawn` and `suspend` say nothing of a run at a call (a pause touches only what is on a core, and a run may wait for a disk unseen). At fault: Core.relinked, which said such replies again; leaving them in doubt cost service. Change: PROTOCOL's catalogue declines a call that no run waits for (409). Where the class is safe to repeat the call is made again: declined, the run had its reply; taken, the run waited, and the reply is said once a poll sent after it was answered with no notice of the run before. Where the call may have an effect it is left in doubt, as before. A `blocked` notice now proves a run's `spawn` too, which is then not said again. It asked for left_in_doubt == 1, the count of one way to mend it; it asks now that each call got the reply made for it and none came unawaited, with the same two replies and two calls. The stand-in catalogue declines as PROTOCOL says. Service lost: not measured yet.

--- a/lemonway/kit/acervo.py
+++ b/lemonway/kit/acervo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory, connectionDone
@@ -72,7 +73,10 @@
         self.reactor = reactor
         self.script: deque[str] = deque()
         self.seconds = 0.0
+        self.awaited: Callable[[str, bytes], bool] = lambda txn, body: True  # whether a run waits for the call
         self.calls: list[tuple[str, bytes]] = []
+        self.echoes = False  # a good reply is the call's own body: a test can tell whose it is
+        self.declined: list[tuple[str, bytes]] = []  # calls that no run waited for
         self.patiences: list[int] = []
         self.sides: dict[AcervoSide, None] = {}  # the connections that are open
         self.forgotten: set[AcervoSide] = set()
@@ -92,19 +96,24 @@
         if side in self.forgotten:
             side.transport.abortConnection()
             return
+        if not self.awaited(txn, body):
+            self.declined.append((txn, body))
+            self.reply(side, "over", b"")
+            return
         self.calls.append((txn, body))
         word = self.script.popleft() if self.script else "ok"
         if word == "break":
             side.transport.abortConnection()
         elif word != "silent":
-            self.reactor.callLater(self.seconds, self.reply, side, word, txn)
+            entry = body if self.echoes else b"entry for " + txn.encode()
+            self.reactor.callLater(self.seconds, self.reply, side, word, entry)
 
-    def reply(self, side: AcervoSide, word: str, txn: str) -> None:
+    def reply(self, side: AcervoSide, word: str, entry: bytes) -> None:
         if word in SPOILT:
             side.transport.write(SPOILT[word])
             return
         good = word in EXTRAS
-        body = b"entry for " + txn.encode() if good or word == "ok" else b""
+        body = entry if good or word == "ok" else b""
         reply = REPLIES["ok" if good else word] + b"Content-Length: %d\r\n\r\n" % len(body) + body
         before, after = EXTRAS.get(word, (b"", b""))
         side.transport.write(before + reply + (reply if word == "twice" else after))
--- a/lemonway/kit/emulator/node.py
+++ b/lemonway/kit/emulator/node.py
@@ -73,6 +73,11 @@
         t = self.life.known.get(txn)
         return None if t is None else t.request
 
+    def awaited(self, txn: str, body: bytes) -> bool:
+        """Whether the request's run waits for this very call."""
+        run = self.life.pool.runs.get(txn)
+        return run is not None and run.state == "blocked" and body.rsplit(b"#", 1)[1] == b"%d" % run.calls
+
     def call(self, ident: int, txn: str, patience: int, body: bytes, once: bool) -> None:
         life, parent = self.life, self.parent(txn, body)
         if parent is None:
@@ -85,7 +90,9 @@
             number, parent.lane, parent.tenant, life.loop.now, until, parent.call_work[which], 0, 0, parent.ram,
             parent.rank, parent.item, key, body, parent.keyed, router=self.router.number)
         self.open[ident] = number
-        if self.state in self.refusal:
+        if not self.awaited(txn, body):
+            life.loop.after(500, self._declined, ident, number)
+        elif self.state in self.refusal:
             life.loop.after(500, self._ended, ident, number, self.refusal[self.state], b"")
         elif self.state == "silent":
             life.loop.at(until, self._ended, ident, number, Outcome.TIMED_OUT, b"")
@@ -104,6 +111,12 @@
             self.life.turns.begin()
             self.life.core.call_ended(ident, outcome, body)
 
+    def _declined(self, ident: int, number: int) -> None:
+        if self.open.get(ident) == number and not self.life.dead:
+            del self.open[ident]
+            self.life.turns.begin()
+            self.life.core.call_not_awaited(ident)
+
     def give_up(self, ident: int) -> None:
         self.open.pop(ident, None)
 
--- a/lemonway/kit/emulator/state/pool.py
+++ b/lemonway/kit/emulator/state/pool.py
@@ -168,8 +168,8 @@
     def suspend(self, txn: str) -> None:
         self._command(self._suspend, txn)
 
-    def supply(self, txn: str, body: bytes) -> None:
-        self._command(self._supply, txn, body)
+    def supply(self, txn: str, body: bytes) -> bool:
+        return self._command(self._supply, txn, body)
 
     def poll(self, token: str) -> None:
         self._command(self._poll, token)
--- a/lemonway/kit/emulator/wire/peers.py
+++ b/lemonway/kit/emulator/wire/peers.py
@@ -256,7 +256,7 @@
     def called(self, side: AcervoSide, txn: str, body: bytes) -> None:
         patience = self.patiences.pop() * 1000
         self.serial += 1
-        if self.parent(txn, body) is None:
+        if self.parent(txn, body) is None or not self.awaited(txn, body):
             self._reply(side, "over", b"")
             return
         self.asking[self.serial] = side
--- a/lemonway/kit/live/acervo.py
+++ b/lemonway/kit/live/acervo.py
@@ -42,6 +42,9 @@
     def parent(self, txn: str, body: bytes) -> Request | None:
         return self.requests.get(number_of(body))
 
+    def awaited(self, txn: str, body: bytes) -> bool:
+        return True
+
     def called(self, side: Any, txn: str, body: bytes) -> None:
         self.moment.catch_up()
         if self.parent(txn, body) is None:
--- a/lemonway/kit/pool.py
+++ b/lemonway/kit/pool.py
@@ -31,6 +31,7 @@
     calls_left: int
     state: str = "queued"  # queued, working, blocked, over
     timer: Any = None
+    call: bytes = b""  # the body of the call that it makes last
     replies: list[bytes] = field(default_factory=list)
 
 
@@ -113,6 +114,11 @@
         for run in [r for r in self.runs.values() if r.handler == handler and r.state == "working"]:
             self._work(run)
 
+    def awaits(self, txn: str, call: bytes) -> bool:
+        """Whether the request's run waits for this call."""
+        run = self.runs.get(txn)
+        return run is not None and run.state == "blocked" and run.call == call
+
     # the protocol
 
     def command(self, link: PoolSide, name: str, words: list[str], body: bytes) -> None:
@@ -179,7 +185,8 @@
         if run.calls_left:
             run.calls_left -= 1
             run.state = "blocked"
-            body = b"call for " + run.txn.encode()
+            made = self.plans[run.handler].calls - run.calls_left
+            body = run.call = b"call %d for %b" % (made, run.txn.encode())
             self._say(b"blocked %d " + run.txn.encode() + b" %d\r\n" % len(body) + body + b"\r\n")
             self._fill()
         else:
--- a/lemonway/kit/stage.py
+++ b/lemonway/kit/stage.py
@@ -84,6 +84,7 @@
         self.pool, self.acervo = StandInPool(reactor, cores, pool_up), StandInAcervo(reactor)
         for name in ("miniatura", "visualizador", "busca", "cadastro"):
             self.pool.plans[name] = Plan(calls)
+        self.acervo.awaited = self.pool.awaits
         self.sink = AnnounceSink()
         self.raw: dict[str, Any] = {
             "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": stop_ms,
--- a/lemonway/net/ports.py
+++ b/lemonway/net/ports.py
@@ -64,13 +64,13 @@
 
 
 class WorkerPool(Protocol):
-    """``spawn`` says whether the command was written to a link: one that was not never arrived."""
+    """``spawn`` and ``supply`` say whether the command was written to a link: one that was not never arrived."""
 
     def spawn(self, txn: str, handler: str, body: bytes) -> bool: ...
 
     def suspend(self, txn: str) -> None: ...
 
-    def supply(self, txn: str, body: bytes) -> None: ...
+    def supply(self, txn: str, body: bytes) -> bool: ...
 
     def poll(self, token: str) -> None: ...
 
@@ -192,3 +192,6 @@
     counters: Counter[str]
 
     def call_ended(self, ident: int, outcome: Outcome, body: bytes) -> None: ...
+
+    def call_not_awaited(self, ident: int) -> None:
+        """Declined, since no run waits for this call: it never ran."""
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -23,6 +23,7 @@
 IDLE_ONCE = 100_000  # idle for longer it may have been forgotten (seen from 135 ms on): not for a call made only once
 REST = 20_000  # for which a connection must stay clean after a reply: what more came would be the next call's
 DIAL_MOST = 1.0  # s for a dial: the proxy is on this machine, and calls that wait for one never ran
+CONFLICT = 409  # the status of a call that was declined since no run waits for it
 PATIENCE_MORE = 50_000  # past the stated patience before the connection is closed on an unanswered call
 
 _STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])( |\Z)")
@@ -151,7 +152,9 @@
         elif not self.reader.keep:
             self.close()
         if call is not None:
-            self.client.replied(self, call, outcome_of(self.reader.status, self.reader.declined), body)
+            status, declined = self.reader.status, self.reader.declined
+            awaited = not (declined and status == CONFLICT)
+            self.client.replied(self, call, outcome_of(status, declined), body, awaited)
 
     def ended(self) -> None:
         call, self.call = self.call, None
@@ -331,14 +334,16 @@
             self._learn(False)
         self.place()
 
-    def replied(self, connection: CatalogueConnection, call: Call, outcome: Outcome, body: bytes) -> None:
+    def replied(
+        self, connection: CatalogueConnection, call: Call, outcome: Outcome, body: bytes, awaited: bool,
+    ) -> None:
         if connection.door.shut:
             connection.close()
         elif not connection.closing:
             self.idle.append(connection)
         if self.ramp is not None:
             self._learn(outcome is Outcome.OK)
-        self.end(call, outcome, body)
+        self.end(call, outcome, body, awaited)
         self.place()
 
     def gone(self, connection: CatalogueConnection, call: Call | None) -> None:
@@ -350,12 +355,16 @@
             self.end(call, Outcome.CUT_OFF, b"")
         self.place()
 
-    def end(self, call: Call, outcome: Outcome, body: bytes) -> None:
-        if not call.over:
-            call.over = True
-            self.calls.pop(call.ident, None)
-            self.used.pop(call.ident, None)
+    def end(self, call: Call, outcome: Outcome, body: bytes, awaited: bool = True) -> None:
+        if call.over:
+            return
+        call.over = True
+        self.calls.pop(call.ident, None)
+        self.used.pop(call.ident, None)
+        if awaited:
             self.events.call_ended(call.ident, outcome, body)
+        else:
+            self.events.call_not_awaited(call.ident)
 
     def _arm(self) -> None:
         first = self.deadlines.first
--- a/lemonway/net/protocol/pool.py
+++ b/lemonway/net/protocol/pool.py
@@ -218,8 +218,8 @@
     def suspend(self, txn: str) -> None:
         self._send(b"suspend %b\r\n" % txn.encode())
 
-    def supply(self, txn: str, body: bytes) -> None:
-        self._send(b"supply %b %d\r\n%b\r\n" % (txn.encode(), len(body), body))
+    def supply(self, txn: str, body: bytes) -> bool:
+        return self._send(b"supply %b %d\r\n%b\r\n" % (txn.encode(), len(body), body))
 
     def poll(self, token: str) -> None:
         self._send(b"poll %b\r\n" % token.encode())
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -17,6 +17,9 @@
 from ...interface import Effect, Lane, Outcome, Settings
 from ..ports import Announcer, Answer, Catalogue, Front, Incoming, KeyGate, Verdict, WorkerPool
 from ..transport.clock import Deadlines, Turns
+from . import call_phase
+from .call_phase import NEXT as NEXT_CALL
+from .call_phase import CallPhase
 from .kept import KeptKeys
 from .readiness import Readiness
 
@@ -47,9 +50,10 @@
     answered: bool = False
     running: bool = False  # spawned, its end not yet told
     suspended: bool = False
-    call: bytes | None = None  # the body of the call it waits at
-    calling_since: int = -1  # when that call went out; -1 = it is not out
-    supplied: bytes | None = None  # the last reply, until the run shows that it came
+    call_phase: CallPhase = call_phase.NONE
+    call: bytes | None = None  # the body of that call, as long as it may have to be made (again)
+    calling_since: int = -1  # when that call went out last
+    reply: bytes | None = None  # of that call, until it is written to a link
     spawn_no: int = 0  # the numbers of the commands said last for it
     supply_no: int = 0
     suspend_no: int = 0
@@ -87,6 +91,8 @@
         self._bound_at = 0  # those up to this one were said before the link was bound
         # Polls not yet answered, each with its number and that of the last command said before it.
         self._asked: deque[tuple[int, int]] = deque(maxlen=POLLS_MOST)
+        # Confirmed calls, each with the poll whose answer shows that every older notice has been read (0: none is out).
+        self._confirmed: dict[int, int] = {}
         self._inbox: list[Record | api.Event] = []
         self._dues = Deadlines(self.records)
         self._waiting: dict[int, list[Record]] = {}  # a try: the repeats that wait for its result
@@ -222,33 +228,51 @@
         """All notices of the time without a link are read: say again what may not have arrived, and no more. What was
         never written did not arrive. Of what was written nothing is known: a run that ends just now would be started a
         second time by its ``spawn``, which only what is safe to repeat may be; what is not is left to end, or to fall
-        due. A reply is said again all the same: runs left without theirs cost far more (docs/design/crossings.md),
-        though one that has moved on to its next call in this very moment would take it for that one's."""
+        due. A reply that was written is never said again: it could reach the run's next call."""
         doubtful = range(self._proved + 1, self._bound_at + 1)
         for record in [r for r in self.records.values() if r.running]:
-            if record.spawn_no in doubtful:
+            if record.spawn_no in doubtful and record.call_phase is call_phase.NONE:  # else a notice shows that it came
                 if record.spawn_sent and record.kind.effect is not Effect.SAFE:
                     self.counters["left_in_doubt"] += 1
                 else:
                     self.counters["said_again"] += 1
                     self._spawn(record)
-            if record.supplied is not None and record.supply_no in doubtful:
-                self.counters["said_again"] += 1
-                self._supply(record, record.supplied)
+            if record.call_phase is call_phase.REPLIED:
+                if record.reply is not None:
+                    self.counters["said_again"] += 1
+                    self._supply(record)
+                elif record.supply_no in doubtful:
+                    self._doubt_reply(record)
             if record.suspended and record.suspend_no in doubtful:
                 self.counters["said_again"] += 1
                 self._stop(record)
+        for ident in self._confirmed:
+            self._confirmed[ident] = self._poll()
         for token in self._checks:
             self.pool.verify(token)
 
+    def _doubt_reply(self, record: Record) -> None:
+        """A link broke over this reply. Whether its run still waits is asked of the catalogue, by the same call made
+        again, or left open where that might have an effect twice, or nobody waits for the result any more."""
+        if record.answered or record.kind.effect is not Effect.SAFE:
+            self.counters["left_in_doubt"] += 1
+            record.call_phase = NEXT_CALL[record.call_phase][call_phase.DOUBT_ONCE]
+        else:
+            self.counters["calls_repeated"] += 1
+            record.call_phase = NEXT_CALL[record.call_phase][call_phase.DOUBT_SAFE]
+            self._inbox.append(api.CallNeeded(record.ident))
+
     def _spawn(self, record: Record) -> None:
         self._said = record.spawn_no = self._said + 1
         record.spawn_sent = self.pool.spawn(
             record.inc.txn, self.settings.lanes[record.inc.lane].name, record.inc.body)
 
-    def _supply(self, record: Record, body: bytes) -> None:
+    def _supply(self, record: Record) -> None:
         self._said = record.supply_no = self._said + 1
-        self.pool.supply(record.inc.txn, body)
+        if record.reply is not None and self.pool.supply(record.inc.txn, record.reply):
+            record.reply = None
+            if record.kind.effect is not Effect.SAFE:
+                record.call = None  # it is never made again
 
     def _stop(self, record: Record) -> None:
         record.suspended = True
@@ -273,8 +297,11 @@
             self.counters["late_ends"] += 1
             return
         self.counters[f"runs_{outcome.name.lower()}"] += 1
-        record.running, record.supplied = False, None
-        self._hang_up(record)
+        record.running = False
+        if record.call_phase is not call_phase.NONE:
+            self._hang_up(record)
+            record.call_phase = NEXT_CALL[record.call_phase][call_phase.OVER]
+            record.call = record.reply = None
         paused = record.suspended and not record.answered and outcome is Outcome.CANCELLED
         record.suspended = False
         if not paused and self.gate is not None and self.gate.ended(record, outcome, body):
@@ -316,13 +343,28 @@
 
     def blocked(self, txn: str, body: bytes) -> None:
         record = self.by_txn.get(txn)
-        if record is None or not record.running or record.call is not None:
+        if record is None or not record.running:
             return
-        record.call, record.supplied = body, None
+        before = record.call_phase
+        record.call_phase = NEXT_CALL[record.call_phase][call_phase.BLOCKED]
+        if record.call_phase is not call_phase.NEEDED or before is call_phase.NEEDED:
+            return  # a second notice of a call that is known
+        if before is call_phase.RECALL_NEEDED or before is call_phase.RECALL_OUT:
+            self._found_replied(record, before)
+        record.call, record.reply = body, None
         if record.answered:  # its run ends here; nobody needs the call
             self._stop(record)
         self._inbox.append(api.CallNeeded(record.ident))
 
+    def _found_replied(self, record: Record, before: CallPhase) -> None:
+        """The run had the reply that was in doubt: the call that was to be made again is over."""
+        took = 0
+        if before is call_phase.RECALL_OUT:
+            took = self.clock.now - record.calling_since
+            if self.catalogue is not None:
+                self.catalogue.give_up(record.ident)
+        self._inbox.append(api.CallEnded(record.ident, Outcome.OK, took / 1000))
+
     def polled(self, token: str, gauges: tuple[float, ...]) -> None:
         self._gauges, self._gauges_at = gauges, self.clock.now
         number = int(token) if token.isdecimal() else 0
@@ -332,6 +374,17 @@
             self._proved = self._asked.popleft()[1]
             if number >= self._waking:
                 self._woken(self._polling)
+        if self._confirmed:
+            self._supply_confirmed(number)
+
+    def _supply_confirmed(self, number: int) -> None:
+        """The poll of that number was answered: runs whose calls were confirmed before it still wait for them."""
+        for ident in [ident for ident, fence in self._confirmed.items() if 0 < fence <= number]:
+            del self._confirmed[ident]
+            record = self.records.get(ident)
+            if record is not None and record.call_phase is call_phase.CONFIRMED:
+                record.call_phase = NEXT_CALL[record.call_phase][call_phase.READ_UP]
+                self._supply(record)
 
     def verified(self, token: str, good: bool) -> None:
         if check := self._checks.pop(token, None):
@@ -347,14 +400,29 @@
 
     def call_ended(self, ident: int, outcome: Outcome, body: bytes) -> None:
         record = self.records.get(ident)
-        if record is None or record.calling_since < 0:
+        if record is None or record.call_phase not in call_phase.ON_THE_WIRE:
             return
         self.counters[f"calls_{outcome.name.lower()}"] += 1
-        took, record.calling_since = self.clock.now - record.calling_since, -1
         if outcome is Outcome.OK:
-            record.call, record.supplied = None, body
-            self._supply(record, body)
-        self._inbox.append(api.CallEnded(ident, outcome, took / 1000))
+            record.reply = body
+            record.call_phase = NEXT_CALL[record.call_phase][call_phase.REPLY]
+            if record.call_phase is call_phase.REPLIED:
+                self._supply(record)
+            else:
+                self._confirmed[ident] = self._poll() if self.linked else 0
+        else:
+            record.call_phase = NEXT_CALL[record.call_phase][call_phase.NO_REPLY]
+        self._inbox.append(api.CallEnded(ident, outcome, (self.clock.now - record.calling_since) / 1000))
+
+    def call_not_awaited(self, ident: int) -> None:
+        """The catalogue declined the call, since no run waits for it. A run whose reply was in doubt has it."""
+        record = self.records.get(ident)
+        if record is None or record.call_phase is not call_phase.RECALL_OUT:
+            self.call_ended(ident, Outcome.TURNED_AWAY, b"")
+            return
+        self.counters["replies_found"] += 1
+        record.call_phase = NEXT_CALL[record.call_phase][call_phase.NOT_AWAITED]
+        self._inbox.append(api.CallEnded(ident, Outcome.OK, (self.clock.now - record.calling_since) / 1000))
 
     # what the program says
 
@@ -570,8 +638,9 @@
 
     def _call(self, a: api.Call) -> None:
         record = self.records.get(a.id)
-        if record is None or record.call is None or record.calling_since >= 0:
+        if record is None or record.call is None or record.call_phase not in call_phase.MAY_GO:
             return
+        record.call_phase = NEXT_CALL[record.call_phase][call_phase.SENT]
         record.calling_since = self.clock.now
         self.counters["calls"] += 1
         if self.catalogue is None:
@@ -650,7 +719,7 @@
             return
         record.answered = True
         self._send(record.inc, answer)
-        if record.call is not None and record.running:
+        if record.running and record.call_phase in call_phase.AT_CALL:
             # An answered request ends at its call: its core and memory come free.
             self._hang_up(record)
             self._stop(record)
@@ -679,8 +748,6 @@
             self._settle(record)
 
     def _hang_up(self, record: Record) -> None:
-        record.call = None
-        if record.calling_since >= 0:
-            record.calling_since = -1
-            if self.catalogue is not None:
-                self.catalogue.give_up(record.ident)
+        if record.call_phase in call_phase.ON_THE_WIRE and self.catalogue is not None:
+            self.catalogue.give_up(record.ident)
+        record.call_phase = NEXT_CALL[record.call_phase][call_phase.HANG_UP]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,6 +23,7 @@
 from lemonway.net.protocol import catalogue, resp
 from lemonway.net.protocol.announce import AnnounceClient
 from lemonway.net.protocol.resp import INTAKE, Intake, RouterConnection, Word
+from lemonway.net.routing import call_phase
 from lemonway.net.routing.kept import KeptKeys
 from lemonway.net.transport import clock
 from lemonway.net.transport.clock import Clock
@@ -100,6 +101,17 @@
         self.assertEqual(set(NEXT[Phase.LOST].values()), {Phase.LOST})
         self.assertEqual({row[Event.GONE] for row in NEXT.values()}, {Phase.LOST})
 
+    def test_a_reply_in_doubt_is_said_only_once_its_call_is_confirmed(self) -> None:
+        table = call_phase.NEXT
+        self.assertEqual({phase: set(row) for phase, row in table.items()},
+                         {phase: set(call_phase.CallEvent) for phase in call_phase.CallPhase})
+        for phase in (call_phase.UNKNOWN, call_phase.RECALL_NEEDED, call_phase.RECALL_OUT):
+            self.assertNotIn(call_phase.REPLIED, table[phase].values())
+        self.assertEqual([event for event, after in table[call_phase.CONFIRMED].items()
+                          if after is call_phase.REPLIED], [call_phase.READ_UP])
+        self.assertEqual({row[call_phase.OVER] for row in table.values()}, {call_phase.NONE})
+        self.assertEqual({row[call_phase.BLOCKED] for row in table.values()}, {call_phase.NEEDED, call_phase.OUT})
+
 
 class IdleClose(OnStage):
     def test_a_resting_connection_is_told_and_what_crosses_that_is_served(self) -> None:
@@ -532,30 +544,131 @@
         runs = [pool.runs[txn].handler for txn in said]
         self.assertEqual((runs.count("cadastro"), stage.tally.faults()), (1, []))
 
-    def test_a_reply_that_may_have_come_is_not_given_to_the_next_call(self) -> None:
-        stage = self.stage(calls=2)
-        pool = stage.pool
-        router = stage.router()
-        held: list[tuple[str, bytes]] = []
+    def break_over_reply(self, stage: Stage, lost: bool, handler: str = "busca",
+                         **fields: Any) -> Callable[[], str]:
+        """Break the link over the reply to a run's first call, with nothing on the old link to show that it came, and
+        bind the new one. The run has the reply and works, or (``lost``) still waits for it. The answer to the poll that
+        ends the resync is withheld: ``in_step`` gives it. Gives what tells the request's answer."""
+        pool, polls = stage.pool, list[str]()
+        stage.acervo.echoes = True
         command = pool.command
 
-        def no_polls(link: Any, name: str, words: list[str], body: bytes) -> None:
-            if name != "poll":  # an answer to one would prove what came before it
+        def filtered(link: Any, name: str, words: list[str], body: bytes) -> None:
+            if name == "poll":
+                polls.append(words[0])
+            elif name == "supply" and lost:
+                pool.supplied.append(words[0])
+            else:
                 command(link, name, words, body)
 
-        with unittest.mock.patch.object(pool, "command", no_polls), \
-                unittest.mock.patch.object(pool, "_supply", lambda txn, body: held.append((txn, body))):
-            tag = router.call("busca")
-            stage.spin(lambda: len(held) == 1)  # the reply to the first call has come, and is worked on
+        router = stage.router(f"router {len(pool.spawned)}")
+        with unittest.mock.patch.object(pool, "command", filtered):
+            tag = router.call(handler, **fields)
+            stage.spin(lambda: len(stage.acervo.calls) == 1)
+            pool.plans[handler].held = True  # with its reply the run works until it is released
+            stage.spin(lambda: len(pool.supplied) == 1)
+            pool.cut()
+            stage.spin(lambda: "resync" in polls)
+        self.addCleanup(lambda: self.assertEqual(stage.tally.faults(), []))
+        return lambda: router.answers[tag][0]
+
+    @staticmethod
+    def in_step(stage: Stage) -> None:
+        assert stage.pool.link is not None
+        stage.pool.link.transport.write(b"polled resync 0.2 2 0.1 8\r\n")
+
+    def assert_replies_fit(self, stage: Stage) -> None:
+        """Each call that was supplied got the reply that was made for it, and no reply came where none was awaited."""
+        self.assertEqual(stage.node.core.counters["unknown_supply"], 0)
+        for run in stage.pool.runs.values():
+            self.assertEqual(run.replies, [b"call %d for %b" % (n + 1, run.txn.encode())
+                                           for n in range(len(run.replies))])
+
+    def test_a_reply_that_may_have_come_is_not_given_to_the_next_call(self) -> None:
+        """The run moves on to its next call just as the new link is in step: a reply said again would be taken for the
+        reply to that call."""
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        self.in_step(stage)
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual((answer(), stage.node.core.counters["calls_repeated"]), ("RESULT", 1))
+        self.assertEqual((len(stage.pool.supplied), len(stage.acervo.calls)), (2, 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_run_that_works_on_its_reply_is_found_by_the_declined_call(self) -> None:
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        self.in_step(stage)
+        stage.spin(lambda: stage.node.core.counters["replies_found"] == 1)
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual((answer(), len(stage.acervo.declined)), ("RESULT", 1))
+        self.assertEqual((len(stage.pool.supplied), len(stage.acervo.calls)), (2, 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_run_whose_reply_was_lost_gets_the_repeated_calls(self) -> None:
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=True)
+        stage.pool.plans["busca"].held = False
+        self.in_step(stage)
+        stage.settle()
+        self.assertEqual((answer(), stage.node.core.counters["calls_repeated"]), ("RESULT", 1))
+        self.assertEqual((len(stage.acervo.calls), len(stage.acervo.declined)), (3, 0))
+        self.assert_replies_fit(stage)
+
+    def test_a_repeated_call_that_is_taken_for_the_next_one_is_not_supplied(self) -> None:
+        """A catalogue that knows a call by its request alone takes the repeated one as the run waits at its next; that
+        notice is still on its way as the reply comes."""
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        stage.acervo.awaited = lambda txn, body: True
+        core, link = stage.node.core, stage.pool.link
+        assert link is not None
+        with unittest.mock.patch.object(link.transport, "write") as withheld:
+            stage.pool.release("busca")
+            stage.spin(lambda: bool(withheld.called))
+            link.transport.writeSequence([b"polled resync 0.2 2 0.1 8\r\n"])
+            stage.spin(lambda: bool(core._confirmed))
+            stage.spin_for(0)
+        for written in withheld.call_args_list:
+            link.transport.write(*written.args)
+        stage.settle()
+        self.assertEqual((answer(), len(stage.pool.supplied)), ("RESULT", 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_link_that_breaks_again_over_the_confirmed_reply(self) -> None:
+        stage = self.stage(calls=1)
+        answer = self.break_over_reply(stage, lost=True)
+        pool, core = stage.pool, stage.node.core
+        pool.plans["busca"].held = False
+        with unittest.mock.patch.object(pool, "command"):  # the poll after the confirmation is lost
+            self.in_step(stage)
+            stage.spin(lambda: bool(core._confirmed))
             pool.cut()
-            stage.spin(lambda: len(pool.binds) == 2)
-        # In step again, and only now the run moves on: it is at its next call as a reply said again would come.
-        assert pool.link is not None
-        pool.link.transport.write(b"polled resync 0.2 2 0.1 8\r\n")
-        pool._supply(*held[0])
+            stage.spin(lambda: not core.linked)
         stage.settle()
-        self.assertEqual((router.answers[tag][0], stage.node.core.counters["left_in_doubt"]), ("RESULT", 1))
+        self.assertEqual((answer(), core.counters["calls_repeated"], core._confirmed), ("RESULT", 1, {}))
         self.assertEqual((len(pool.supplied), len(stage.acervo.calls)), (2, 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_call_that_may_have_an_effect_is_not_repeated(self) -> None:
+        for lost, word in ((False, "RESULT"), (True, "ABORTED")):
+            with self.subTest(lost=lost):
+                stage = Stage(calls=2)
+                try:
+                    answer = self.break_over_reply(stage, lost, "cadastro", unique=KEY)
+                    self.in_step(stage)
+                    stage.spin(lambda core=stage.node.core: core.counters["left_in_doubt"] == 1)  # type: ignore[misc]
+                    stage.pool.release("cadastro")
+                    stage.settle()
+                    self.assertEqual(answer(), word)
+                    self.assertEqual(len(stage.pool.supplied), 1 if lost else 2)
+                    self.assertEqual(len(stage.acervo.calls), len(stage.pool.supplied))
+                    self.assertEqual(len(stage.pool.spawned), 1)
+                    self.assert_replies_fit(stage)
+                finally:
+                    stage.close()
 
 
 class Announcing(OnStage):
