Replace a moved pool link once, know calls to a catalogue that went, rows for each trouble

Seen, by reading the standing test's list against docs/design/crossings.md and forcing each order: (1) a SIGHUP dials the pool's new address, the old link breaks meanwhile, and its own wait for another dial ends after the new link is up: that one is replaced for nothing, with every unproved command in doubt once more (links_lost 2 where 1 is due). At fault: PoolLink.start, which asked only whether a dial is out. (2) A SIGHUP takes the catalogue away with a repeated call on the wire, the run asks for its next call, another SIGHUP brings the catalogue back: the first client's late reply was taken for the next call's. Ruled out by tests that were green at once: both signals in one turn and again in a drain, a reload or drain between any two bytes, a kill between accept and the first read of router, pool and catalogue, a pool silent long after it was good, a run whose end is never told, ten minutes without a request. Change: a connection of the pool link knows its address, and one that goes to the address in force is not dialled anew. What tests of crossings share moved to on_stage.py.

--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -299,8 +299,7 @@
         at = self.config.catalogue
         if at is None:
             if self.catalogue is not None:
-                self.catalogue.retire()
-            self.catalogue = self.core.catalogue = None
+                self.catalogue.withdraw()
         elif self.catalogue is not None:
             self.catalogue.readdress(at.host, at.port)
         else:
--- a/lemonway/net/protocol/catalogue.py
+++ b/lemonway/net/protocol/catalogue.py
@@ -211,6 +211,9 @@
 
     def call(self, ident: int, txn: str, patience: int, body: bytes, once: bool) -> None:
         """``once``: what breaks this call can't be made good by another."""
+        if self.door.shut:
+            self.events.call_ended(ident, Outcome.UNREACHABLE, b"")
+            return
         call = Call(ident, txn, self.turns.clock.now + patience, body, once)
         self.calls[ident] = call
         self.deadlines.add(call.until + PATIENCE_MORE, ident)
@@ -300,7 +303,7 @@
 
     def readdress(self, host: str, port: int) -> None:
         """New calls go there. Those on the wire end where they are: a call made a second time might run twice."""
-        if (host, port) != (self.door.host, self.door.port):
+        if self.door.shut or (host, port) != (self.door.host, self.door.port):
             self.retire()
             self.door = Door(self, host, port)
             self.place()
@@ -312,6 +315,14 @@
         for connection in idle:
             connection.close()
 
+    def withdraw(self) -> None:
+        """There is no catalogue until ``readdress`` names one: what waits never ran. Calls on the wire end where they
+        are, and stay known here: a later call of the same request gives them up."""
+        self.retire()
+        waiting, self.queue = self.queue, deque()
+        for call in waiting:
+            self.end(call, Outcome.UNREACHABLE, b"")
+
     def ready(self, connection: CatalogueConnection) -> None:
         connection.door.opening -= 1
         connection.used = connection.clean_at = self.turns.clock.now
--- a/lemonway/net/protocol/pool.py
+++ b/lemonway/net/protocol/pool.py
@@ -77,9 +77,9 @@
 class PoolConnection(Connection):
     """One life of the link. Notices that were read on an earlier life are passed over by their number."""
 
-    def __init__(self, turns: Turns, link: PoolLink) -> None:
+    def __init__(self, turns: Turns, link: PoolLink, address: tuple[str, int]) -> None:
         super().__init__(turns, INBOUND, link.most)
-        self.link = link
+        self.link, self.address = link, address
         self.notice: Notice | None = None
         self.bound = False
 
@@ -130,7 +130,9 @@
         self.connector: Any = None  # of the connection being made
 
     def start(self) -> None:
-        if not self.stopped and self.connector is None:
+        """Dial, unless a dial is out or the link in use goes to the address in force."""
+        in_place = self.current is not None and self.current.address == (self.host, self.port)
+        if not (self.stopped or in_place) and self.connector is None:
             self.connector = self.turns.reactor.connectTCP(self.host, self.port, self, timeout=None)
 
     def stop(self) -> None:
@@ -153,7 +155,8 @@
 
     def buildProtocol(self, addr: Any) -> PoolConnection:
         self.connector = None
-        old, self.current = self.current, PoolConnection(self.turns, self)
+        # A dial is stopped as the address changes, so what comes up goes to the one in force.
+        old, self.current = self.current, PoolConnection(self.turns, self, (self.host, self.port))
         if old is not None:
             if old.bound:
                 self.events.link_lost()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,10 +18,13 @@
 from pathlib import Path
 from typing import Any
 
+from on_stage import DRAIN, KEY, OnStage, call
+
 from lemonway.kit.clients import RouterClient
 from lemonway.kit.stage import Stage, site_settings
 from lemonway.net.protocol import catalogue, resp
 from lemonway.net.protocol.announce import AnnounceClient
+from lemonway.net.protocol.pool import RETRY
 from lemonway.net.protocol.resp import INTAKE, Intake, RouterConnection, Word
 from lemonway.net.routing import call_phase
 from lemonway.net.routing.kept import KeptKeys
@@ -29,64 +32,6 @@
 from lemonway.net.transport.clock import Clock
 from lemonway.net.transport.connection import NEXT, Event, Phase
 
-KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
-DRAIN = RouterClient.frame(b"0", b"DRAIN")
-
-
-def call(tag: int, handler: bytes = b"busca", door: int | None = None, **fields: str) -> bytes:
-    """A request as it is on the wire."""
-    said = {"txn": f"{tag:016x}", "door": str(int(time.time() * 1000) if door is None else door), "ram": "30.0",
-            "standing": "0.5", **fields}
-    text = ",".join(f"{name}={value}" for name, value in said.items()).encode()
-    return RouterClient.frame(b"CALL", b"%d" % tag, handler, text, b"body")
-
-
-class OnStage(unittest.TestCase):
-    def stage(self, **options: Any) -> Stage:
-        stage = Stage(**options)
-        self.addCleanup(stage.close)
-        self.addCleanup(lambda: self.assertEqual(stage.node.core.counters["brain_faults"], 0))
-        self.addCleanup(lambda: self.assertEqual(stage.node.turns.faults, 0))
-        return stage
-
-    def plain(self, stage: Stage, before: Callable[[socket.socket], None] = lambda _: None) -> socket.socket:
-        """A router's bare socket, up and taken in by the node: what it sends and reads, and when, is the test's."""
-        side = socket.socket()
-        self.addCleanup(side.close)
-        before(side)
-        seen = stage.node.core.counters["connections"]
-        side.connect(("127.0.0.1", stage.port))
-        stage.spin(lambda: stage.node.core.counters["connections"] > seen)
-        side.setblocking(False)
-        return side
-
-    def read(self, stage: Stage, side: socket.socket, until: bytes | None = None, patience: float = 5.0) -> bytes:
-        """All that comes, up to ``until`` or (None) to an orderly end; a reset is an error."""
-        got, ended = b"", False
-
-        def more() -> bool:
-            nonlocal got, ended
-            try:
-                data = side.recv(65536)
-            except BlockingIOError:
-                return False
-            got, ended = got + data, not data
-            return ended or (until is not None and until in got)
-
-        stage.spin(more, patience)
-        self.assertTrue(until is not None or ended)
-        # A reset that comes behind the end shows only here; over a real network it may go before what it follows.
-        stage.spin_for(0.02)
-        self.assertEqual(side.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), 0, "it was reset")
-        return got
-
-    @staticmethod
-    def front(stage: Stage) -> RouterConnection:
-        """The node's side of the connection that was opened last."""
-        found = list(stage.node.core.fronts)[-1]
-        assert isinstance(found, RouterConnection)
-        return found
-
 
 class Tables(unittest.TestCase):
     def test_every_event_has_its_step_in_every_phase(self) -> None:
@@ -584,6 +529,21 @@
             self.assertEqual(run.replies, [b"call %d for %b" % (n + 1, run.txn.encode())
                                            for n in range(len(run.replies))])
 
+    def test_a_link_that_breaks_as_its_successor_is_dialled_is_replaced_once(self) -> None:
+        """A SIGHUP has the new address dialled while the old link serves. Then that one breaks, and its wait for
+        another dial ends after the new link is up."""
+        stage = self.stage()
+        link, pool = stage.node.pool, stage.pool
+        moved = stage.open().pool
+        with unittest.mock.patch.object(stage.reactor, "connectTCP") as dial:
+            link.readdress(moved.host, moved.port)
+            pool.cut()
+            stage.spin(lambda: not stage.node.core.linked)
+        stage.reactor.connectTCP(*dial.call_args.args, **dial.call_args.kwargs)  # only now it gets through
+        stage.spin(lambda: stage.node.core.linked)
+        stage.spin_for(3 * RETRY / 1e6)
+        self.assertEqual((len(pool.binds), stage.node.core.counters["links_lost"]), (2, 1))
+
     def test_a_reply_that_may_have_come_is_not_given_to_the_next_call(self) -> None:
         """The run moves on to its next call just as the new link is in step: a reply said again would be taken for the
         reply to that call."""
@@ -637,6 +597,29 @@
         self.assertEqual((answer(), len(stage.pool.supplied)), ("RESULT", 2))
         self.assert_replies_fit(stage)
 
+    def test_a_late_reply_of_a_catalogue_that_went_and_came_back(self) -> None:
+        """The repeated call is on the wire as a SIGHUP takes the catalogue away, the run asks for its next call, and
+        another SIGHUP brings the catalogue back: the reply that comes only then is no reply to that next call."""
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        acervo, node, late = stage.acervo, stage.node, list[tuple[Any, ...]]()
+        acervo.awaited = lambda txn, body: True
+        there, gone = node.config, replace(node.config, catalogue=None)
+        with unittest.mock.patch.object(acervo, "reply", lambda *reply: late.append(reply)):
+            self.in_step(stage)
+            stage.spin(lambda: len(late) == 1)
+            node.adopt(gone)
+            stage.pool.release("busca")
+            stage.spin(lambda: [run.state for run in stage.pool.runs.values()] == ["blocked"])
+            node.adopt(there)
+            stage.spin(lambda: len(late) == 2)
+        acervo.reply(*late[0])
+        stage.spin_for(0.02)
+        acervo.reply(*late[1])
+        stage.settle()
+        self.assertEqual(answer(), "RESULT")
+        self.assert_replies_fit(stage)
+
     def test_a_link_that_breaks_again_over_the_confirmed_reply(self) -> None:
         stage = self.stage(calls=1)
         answer = self.break_over_reply(stage, lost=True)
