--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,74 +18,20 @@
 from pathlib import Path
 from typing import Any
 
+from on_stage import DRAIN, KEY, OnStage, call
+
 from lemonway.kit.clients import RouterClient
 from lemonway.kit.stage import Stage, site_settings
 from lemonway.net.protocol import catalogue, resp
 from lemonway.net.protocol.announce import AnnounceClient
+from lemonway.net.protocol.pool import RETRY
 from lemonway.net.protocol.resp import INTAKE, Intake, RouterConnection, Word
+from lemonway.net.routing import call_phase
 from lemonway.net.routing.kept import KeptKeys
 from lemonway.net.transport import clock
 from lemonway.net.transport.clock import Clock
 from lemonway.net.transport.connection import NEXT, Event, Phase
 
-KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
-DRAIN = RouterClient.frame(b"0", b"DRAIN")
-
-
-def call(tag: int, handler: bytes = b"busca", door: int | None = None, **fields: str) -> bytes:
-    """A request as it is on the wire."""
-    said = {"txn": f"{tag:016x}", "door": str(int(time.time() * 1000) if door is None else door), "ram": "30.0",
-            "standing": "0.5", **fields}
-    text = ",".join(f"{name}={value}" for name, value in said.items()).encode()
-    return RouterClient.frame(b"CALL", b"%d" % tag, handler, text, b"body")
-
-
-class OnStage(unittest.TestCase):
-    def stage(self, **options: Any) -> Stage:
-        stage = Stage(**options)
-        self.addCleanup(stage.close)
-        self.addCleanup(lambda: self.assertEqual(stage.node.core.counters["brain_faults"], 0))
-        self.addCleanup(lambda: self.assertEqual(stage.node.turns.faults, 0))
-        return stage
-
-    def plain(self, stage: Stage, before: Callable[[socket.socket], None] = lambda _: None) -> socket.socket:
-        """A router's bare socket, up and taken in by the node: what it sends and reads, and when, is the test's."""
-        side = socket.socket()
-        self.addCleanup(side.close)
-        before(side)
-        seen = stage.node.core.counters["connections"]
-        side.connect(("127.0.0.1", stage.port))
-        stage.spin(lambda: stage.node.core.counters["connections"] > seen)
-        side.setblocking(False)
-        return side
-
-    def read(self, stage: Stage, side: socket.socket, until: bytes | None = None, patience: float = 5.0) -> bytes:
-        """All that comes, up to ``until`` or (None) to an orderly end; a reset is an error."""
-        got, ended = b"", False
-
-        def more() -> bool:
-            nonlocal got, ended
-            try:
-                data = side.recv(65536)
-            except BlockingIOError:
-                return False
-            got, ended = got + data, not data
-            return ended or (until is not None and until in got)
-
-        stage.spin(more, patience)
-        self.assertTrue(until is not None or ended)
-        # A reset that comes behind the end shows only here; over a real network it may go before what it follows.
-        stage.spin_for(0.02)
-        self.assertEqual(side.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), 0, "it was reset")
-        return got
-
-    @staticmethod
-    def front(stage: Stage) -> RouterConnection:
-        """The node's side of the connection that was opened last."""
-        found = list(stage.node.core.fronts)[-1]
-        assert isinstance(found, RouterConnection)
-        return found
-
 
 class Tables(unittest.TestCase):
     def test_every_event_has_its_step_in_every_phase(self) -> None:
@@ -100,6 +46,17 @@
         self.assertEqual(set(NEXT[Phase.LOST].values()), {Phase.LOST})
         self.assertEqual({row[Event.GONE] for row in NEXT.values()}, {Phase.LOST})
 
+    def test_a_reply_in_doubt_is_said_only_once_its_call_is_confirmed(self) -> None:
+        table = call_phase.NEXT
+        self.assertEqual({phase: set(row) for phase, row in table.items()},
+                         {phase: set(call_phase.CallEvent) for phase in call_phase.CallPhase})
+        for phase in (call_phase.UNKNOWN, call_phase.RECALL_NEEDED, call_phase.RECALL_OUT):
+            self.assertNotIn(call_phase.REPLIED, table[phase].values())
+        self.assertEqual([event for event, after in table[call_phase.CONFIRMED].items()
+                          if after is call_phase.REPLIED], [call_phase.READ_UP])
+        self.assertEqual({row[call_phase.OVER] for row in table.values()}, {call_phase.NONE})
+        self.assertEqual({row[call_phase.BLOCKED] for row in table.values()}, {call_phase.NEEDED, call_phase.OUT})
+
 
 class IdleClose(OnStage):
     def test_a_resting_connection_is_told_and_what_crosses_that_is_served(self) -> None:
@@ -532,30 +489,169 @@
         runs = [pool.runs[txn].handler for txn in said]
         self.assertEqual((runs.count("cadastro"), stage.tally.faults()), (1, []))
 
-    def test_a_reply_that_may_have_come_is_not_given_to_the_next_call(self) -> None:
-        stage = self.stage(calls=2)
-        pool = stage.pool
-        router = stage.router()
-        held: list[tuple[str, bytes]] = []
+    def break_over_reply(self, stage: Stage, lost: bool, handler: str = "busca",
+                         **fields: Any) -> Callable[[], str]:
+        """Break the link over the reply to a run's first call, with nothing on the old link to show that it came, and
+        bind the new one. The run has the reply and works, or (``lost``) still waits for it. The answer to the poll that
+        ends the resync is withheld: ``in_step`` gives it. Gives what tells the request's answer."""
+        pool, polls = stage.pool, list[str]()
+        stage.acervo.echoes = True
         command = pool.command
 
-        def no_polls(link: Any, name: str, words: list[str], body: bytes) -> None:
-            if name != "poll":  # an answer to one would prove what came before it
+        def filtered(link: Any, name: str, words: list[str], body: bytes) -> None:
+            if name == "poll":
+                polls.append(words[0])
+            elif name == "supply" and lost:
+                pool.supplied.append(words[0])
+            else:
                 command(link, name, words, body)
 
-        with unittest.mock.patch.object(pool, "command", no_polls), \
-                unittest.mock.patch.object(pool, "_supply", lambda txn, body: held.append((txn, body))):
-            tag = router.call("busca")
-            stage.spin(lambda: len(held) == 1)  # the reply to the first call has come, and is worked on
+        router = stage.router(f"router {len(pool.spawned)}")
+        with unittest.mock.patch.object(pool, "command", filtered):
+            tag = router.call(handler, **fields)
+            stage.spin(lambda: len(stage.acervo.calls) == 1)
+            pool.plans[handler].held = True  # with its reply the run works until it is released
+            stage.spin(lambda: len(pool.supplied) == 1)
+            pool.cut()
+            stage.spin(lambda: "resync" in polls)
+        self.addCleanup(lambda: self.assertEqual(stage.tally.faults(), []))
+        return lambda: router.answers[tag][0]
+
+    @staticmethod
+    def in_step(stage: Stage) -> None:
+        assert stage.pool.link is not None
+        stage.pool.link.transport.write(b"polled resync 0.2 2 0.1 8\r\n")
+
+    def assert_replies_fit(self, stage: Stage) -> None:
+        """Each call that was supplied got the reply that was made for it, and no reply came where none was awaited."""
+        self.assertEqual(stage.node.core.counters["unknown_supply"], 0)
+        for run in stage.pool.runs.values():
+            self.assertEqual(run.replies, [b"call %d for %b" % (n + 1, run.txn.encode())
+                                           for n in range(len(run.replies))])
+
+    def test_a_link_that_breaks_as_its_successor_is_dialled_is_replaced_once(self) -> None:
+        """A SIGHUP has the new address dialled while the old link serves. Then that one breaks, and its wait for
+        another dial ends after the new link is up."""
+        stage = self.stage()
+        link, pool = stage.node.pool, stage.pool
+        moved = stage.open().pool
+        with unittest.mock.patch.object(stage.reactor, "connectTCP") as dial:
+            link.readdress(moved.host, moved.port)
             pool.cut()
-            stage.spin(lambda: len(pool.binds) == 2)
-        # In step again, and only now the run moves on: it is at its next call as a reply said again would come.
-        assert pool.link is not None
-        pool.link.transport.write(b"polled resync 0.2 2 0.1 8\r\n")
-        pool._supply(*held[0])
+            stage.spin(lambda: not stage.node.core.linked)
+        stage.reactor.connectTCP(*dial.call_args.args, **dial.call_args.kwargs)  # only now it gets through
+        stage.spin(lambda: stage.node.core.linked)
+        stage.spin_for(3 * RETRY / 1e6)
+        self.assertEqual((len(pool.binds), stage.node.core.counters["links_lost"]), (2, 1))
+
+    def test_a_reply_that_may_have_come_is_not_given_to_the_next_call(self) -> None:
+        """The run moves on to its next call just as the new link is in step: a reply said again would be taken for the
+        reply to that call."""
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        self.in_step(stage)
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual((answer(), stage.node.core.counters["calls_repeated"]), ("RESULT", 1))
+        self.assertEqual((len(stage.pool.supplied), len(stage.acervo.calls)), (2, 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_run_that_works_on_its_reply_is_found_by_the_declined_call(self) -> None:
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        self.in_step(stage)
+        stage.spin(lambda: stage.node.core.counters["replies_found"] == 1)
+        stage.pool.release("busca")
+        stage.settle()
+        self.assertEqual((answer(), len(stage.acervo.declined)), ("RESULT", 1))
+        self.assertEqual((len(stage.pool.supplied), len(stage.acervo.calls)), (2, 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_run_whose_reply_was_lost_gets_the_repeated_calls(self) -> None:
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=True)
+        stage.pool.plans["busca"].held = False
+        self.in_step(stage)
+        stage.settle()
+        self.assertEqual((answer(), stage.node.core.counters["calls_repeated"]), ("RESULT", 1))
+        self.assertEqual((len(stage.acervo.calls), len(stage.acervo.declined)), (3, 0))
+        self.assert_replies_fit(stage)
+
+    def test_a_repeated_call_that_is_taken_for_the_next_one_is_not_supplied(self) -> None:
+        """A catalogue that knows a call by its request alone takes the repeated one as the run waits at its next; that
+        notice is still on its way as the reply comes."""
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        stage.acervo.awaited = lambda txn, body: True
+        core, link = stage.node.core, stage.pool.link
+        assert link is not None
+        with unittest.mock.patch.object(link.transport, "write") as withheld:
+            stage.pool.release("busca")
+            stage.spin(lambda: bool(withheld.called))
+            link.transport.writeSequence([b"polled resync 0.2 2 0.1 8\r\n"])
+            stage.spin(lambda: bool(core._confirmed))
+            stage.spin_for(0)
+        for written in withheld.call_args_list:
+            link.transport.write(*written.args)
         stage.settle()
-        self.assertEqual((router.answers[tag][0], stage.node.core.counters["left_in_doubt"]), ("RESULT", 1))
+        self.assertEqual((answer(), len(stage.pool.supplied)), ("RESULT", 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_late_reply_of_a_catalogue_that_went_and_came_back(self) -> None:
+        """The repeated call is on the wire as a SIGHUP takes the catalogue away, the run asks for its next call, and
+        another SIGHUP brings the catalogue back: the reply that comes only then is no reply to that next call."""
+        stage = self.stage(calls=2)
+        answer = self.break_over_reply(stage, lost=False)
+        acervo, node, late = stage.acervo, stage.node, list[tuple[Any, ...]]()
+        acervo.awaited = lambda txn, body: True
+        there, gone = node.config, replace(node.config, catalogue=None)
+        with unittest.mock.patch.object(acervo, "reply", lambda *reply: late.append(reply)):
+            self.in_step(stage)
+            stage.spin(lambda: len(late) == 1)
+            node.adopt(gone)
+            stage.pool.release("busca")
+            stage.spin(lambda: [run.state for run in stage.pool.runs.values()] == ["blocked"])
+            node.adopt(there)
+            stage.spin(lambda: len(late) == 2)
+        acervo.reply(*late[0])
+        stage.spin_for(0.02)
+        acervo.reply(*late[1])
+        stage.settle()
+        self.assertEqual(answer(), "RESULT")
+        self.assert_replies_fit(stage)
+
+    def test_a_link_that_breaks_again_over_the_confirmed_reply(self) -> None:
+        stage = self.stage(calls=1)
+        answer = self.break_over_reply(stage, lost=True)
+        pool, core = stage.pool, stage.node.core
+        pool.plans["busca"].held = False
+        with unittest.mock.patch.object(pool, "command"):  # the poll after the confirmation is lost
+            self.in_step(stage)
+            stage.spin(lambda: bool(core._confirmed))
+            pool.cut()
+            stage.spin(lambda: not core.linked)
+        stage.settle()
+        self.assertEqual((answer(), core.counters["calls_repeated"], core._confirmed), ("RESULT", 1, {}))
         self.assertEqual((len(pool.supplied), len(stage.acervo.calls)), (2, 2))
+        self.assert_replies_fit(stage)
+
+    def test_a_call_that_may_have_an_effect_is_not_repeated(self) -> None:
+        for lost, word in ((False, "RESULT"), (True, "ABORTED")):
+            with self.subTest(lost=lost):
+                stage = Stage(calls=2)
+                try:
+                    answer = self.break_over_reply(stage, lost, "cadastro", unique=KEY)
+                    self.in_step(stage)
+                    stage.spin(lambda core=stage.node.core: core.counters["left_in_doubt"] == 1)  # type: ignore[misc]
+                    stage.pool.release("cadastro")
+                    stage.settle()
+                    self.assertEqual(answer(), word)
+                    self.assertEqual(len(stage.pool.supplied), 1 if lost else 2)
+                    self.assertEqual(len(stage.acervo.calls), len(stage.pool.supplied))
+                    self.assertEqual(len(stage.pool.spawned), 1)
+                    self.assert_replies_fit(stage)
+                finally:
+                    stage.close()
 
 
 class Announcing(OnStage):
