--- /dev/null
+++ b/lemonway/control/terms.py
@@ -0,0 +1,55 @@
+"""Figures of the control roles. Times are whole microseconds, sizes bytes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SECOND = 1_000_000
+
+
+@dataclass(frozen=True)
+class WatchTerms:
+    """One watch, at the subscriber's end."""
+
+    heartbeat_us: int = SECOND  # between heartbeats, each of which asks for a grant
+    silent_us: int = 3 * SECOND  # a publisher that has said nothing for so long is left
+    acknowledge_us: int = 50_000  # an acknowledgement waits so long for further versions
+    connect_us: int = 2 * SECOND  # for a connection to be made
+    backoff_us: int = 200_000  # the first pause before the next connection; doubles, with full jitter
+    backoff_most_us: int = 10 * SECOND
+    spread_us: int = SECOND  # the loss of a working link is followed by a pause drawn up to this
+
+
+@dataclass(frozen=True)
+class PublishTerms:
+    """Watches, at the publisher's end."""
+
+    subscribers_most: int = 2_000
+    silent_us: int = 6 * SECOND  # a subscriber that has said nothing for so long is dropped
+    snapshots_most: int = 32  # snapshots being sent at one time; further subscribers wait
+    snapshot_rate: int = 64 << 20  # bytes of snapshots a second, over all subscribers
+    piece_bytes: int = 32 << 10
+    log_versions_most: int = 4_096
+    log_bytes_most: int = 16 << 20
+
+
+@dataclass(frozen=True)
+class AgentTerms:
+    """An image node's part."""
+
+    watch: WatchTerms = WatchTerms()
+    serve_when_lost: bool = True  # else the node takes no work once its lease is over
+    stale_most_us: int = 3_600 * SECOND  # with ``serve_when_lost``: for so long past its lease
+    table_bytes_most: int = 48 << 20  # a table past this is refused
+
+
+@dataclass(frozen=True)
+class VoterTerms:
+    """A voter's part; its lease on the epoch in force is what every grant is cut from."""
+
+    lease_us: int = 9 * SECOND
+    heartbeat_us: int = SECOND // 4
+    queue_most: int = 256  # proposals that wait
+    operations_most: int = 1_000  # of one change
+    change_bytes_most: int = 64 << 10
+    retries_most: int = 16  # times a change is proposed anew because another was committed before it
