--- a/lemonway/control/messages.py
+++ b/lemonway/control/messages.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from .resources import Put
 from .versions import Version
 
 PROTOCOL = 1
@@ -35,9 +34,10 @@
 
 
 class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag="ack"):
-    """All versions up to ``number`` are in force at the subscriber."""
+    """All versions up to ``number`` are in force at the subscriber; ``pieces`` of the snapshot under way are there."""
 
     number: int
+    pieces: int
 
 
 class Standing(msgspec.Struct, frozen=True, array_like=True):
@@ -67,20 +67,21 @@
 
 
 class SnapshotBegin(msgspec.Struct, frozen=True, array_like=True, tag="snap"):
-    """A whole table follows in so many pieces; the subscriber keeps its own until the last is there and agrees."""
+    """A whole table follows in pieces; the subscriber keeps its own until the last is there and agrees."""
 
     number: int
     digest: bytes
     content: bytes  # ``Table.content`` in 16 bytes, big-endian
     resources: int
-    pieces: int
+    bytes: int  # ``Table.bytes``
 
 
 class SnapshotPiece(msgspec.Struct, frozen=True, array_like=True, tag="piece"):
-    """One piece; they come in order."""
+    """One piece; they come in order. ``resources``: msgpack of ``tuple[Put, ...]``, encoded once for all who get it."""
 
     at: int
-    resources: tuple[Put, ...]
+    last: bool
+    resources: bytes
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag="grant"):
@@ -153,7 +154,8 @@
 
 
 class KeepVersion(msgspec.Struct, frozen=True):
-    """Output: the version is in force here; a driver with a disk appends it to its store."""
+    """Output: the version is in force here; a driver with a disk appends it to its store. A voter's has to be on disk
+    before any ``KeepVote`` that follows."""
 
     version: Version
 
@@ -165,7 +167,9 @@
     digest: bytes
 
 
-SubscriberOutput = Dial | HangUp | Say | KeepVersion | KeepTable
+KeepOutput = KeepVersion | KeepTable
+SubscriberOutput = Dial | HangUp | Say
 PublisherOutput = Send | Drop
+AgentOutput = SubscriberOutput | KeepOutput
 RelayOutput = SubscriberOutput | PublisherOutput
-VoterOutput = SendVoter | KeepVote | SubscriberOutput | PublisherOutput
+VoterOutput = SendVoter | KeepVote | SubscriberOutput | KeepOutput | PublisherOutput
--- a/lemonway/control/resources.py
+++ b/lemonway/control/resources.py
@@ -78,6 +78,12 @@
         """The resource's value (JSON), if there is such a resource."""
         return self.entries.get((kind, name))
 
+    def copy(self) -> Table:
+        """A table of its own with the same resources; their values are shared."""
+        made = Table()
+        made.entries, made.content, made.bytes = dict(self.entries), self.content, self.bytes
+        return made
+
     def apply(self, operations: Iterable[Operation]) -> None:
         """Carry out operations that ``check`` has passed."""
         for operation in operations:
@@ -96,6 +102,17 @@
             self.content = (self.content - _content_hash(*key, value)) % CONTENT_MODULUS
             self.bytes -= ENTRY_BYTES + len(key[1]) + len(value)
 
+    def growth(self, operations: Iterable[Operation]) -> int:
+        """How much ``bytes`` grows at most by these operations, each taken by itself."""
+        grown = 0
+        for operation in operations:
+            old = self.entries.get((operation.kind, operation.name))
+            if old is not None:
+                grown -= ENTRY_BYTES + len(operation.name) + len(old)
+            if isinstance(operation, Put):
+                grown += ENTRY_BYTES + len(operation.name) + len(operation.value)
+        return grown
+
     def resources(self) -> Iterator[Put]:
         """Every resource, as the operation that would make it."""
         for (kind, name), value in self.entries.items():
--- a/lemonway/control/terms.py
+++ b/lemonway/control/terms.py
@@ -18,6 +18,8 @@
     backoff_us: int = 200_000  # the first pause before the next connection; doubles, with full jitter
     backoff_most_us: int = 10 * SECOND
     spread_us: int = SECOND  # the loss of a working link is followed by a pause drawn up to this
+    lapsed_us: int = 5 * SECOND  # a publisher that had no lease to give for so long is left; grows where none has one
+    lease_most_us: int = 60 * SECOND  # a longer grant is refused
 
 
 @dataclass(frozen=True)
@@ -26,9 +28,15 @@
 
     subscribers_most: int = 2_000
     silent_us: int = 6 * SECOND  # a subscriber that has said nothing for so long is dropped
-    snapshots_most: int = 32  # snapshots being sent at one time; further subscribers wait
-    snapshot_rate: int = 64 << 20  # bytes of snapshots a second, over all subscribers
+    retry_us: int = 3 * SECOND  # a subscriber that is refused is asked not to come before
+    snapshots_most: int = 32  # snapshots and long tails being sent at one time; further subscribers wait
+    snapshot_rate: int = 64 << 20  # bytes of them a second, over all subscribers
+    snapshot_linger_us: int = 10 * SECOND  # an encoded snapshot is kept so long for the next who needs it
     piece_bytes: int = 32 << 10
+    pieces_ahead: int = 16  # pieces on their way to one subscriber that it has not acknowledged
+    tail_bytes: int = 256 << 10  # versions that are sent at once; more of them are paced as a snapshot is
+    unacknowledged_most: int = 8 << 20  # bytes of versions on their way to one subscriber; past it the link is dropped
+    table_bytes_most: int = 512 << 20  # a table past this is refused
     log_versions_most: int = 4_096
     log_bytes_most: int = 16 << 20
 
@@ -49,7 +57,9 @@
 
     lease_us: int = 9 * SECOND
     heartbeat_us: int = SECOND // 4
+    watch: WatchTerms = WatchTerms()  # of another voter, while this one lacks contents
     queue_most: int = 256  # proposals that wait
+    wait_most_us: int = 30 * SECOND  # a proposal that could not be put to the voters for so long is refused
     operations_most: int = 1_000  # of one change
     change_bytes_most: int = 64 << 10
     retries_most: int = 16  # times a change is proposed anew because another was committed before it
--- a/lemonway/control/versions.py
+++ b/lemonway/control/versions.py
@@ -53,38 +53,54 @@
 
 
 class VersionLog:
-    """The last versions without a gap between them, bounded in number and bytes."""
+    """The last versions without a gap between them, bounded in number and bytes. Each look-up costs one step."""
 
     def __init__(self, versions_most: int, bytes_most: int) -> None:
         self.versions_most, self.bytes_most = versions_most, bytes_most
         self.versions: deque[Version] = deque()
         self.bytes = 0
+        self._written = 0  # bytes of all versions ever appended
+        self._successors: dict[int, Version] = {}  # by the parent's number
+        self._ends: dict[int, int] = {}  # number: ``_written`` when it was the last
 
     def append(self, version: Version) -> None:
         """Add the version that follows the last one."""
+        if not self.versions:
+            self._ends[version.parent] = self._written
+        size = weight(version)
         self.versions.append(version)
-        self.bytes += weight(version)
+        self.bytes += size
+        self._written += size
+        self._successors[version.parent] = version
+        self._ends[version.number] = self._written
         while len(self.versions) > 1 and (len(self.versions) > self.versions_most or self.bytes > self.bytes_most):
-            self.bytes -= weight(self.versions.popleft())
+            self._compact()
+
+    def _compact(self) -> None:
+        oldest = self.versions.popleft()
+        self.bytes -= weight(oldest)
+        del self._successors[oldest.parent]
+        del self._ends[oldest.parent]
 
     def clear(self) -> None:
         """Forget all: what follows does not continue it."""
         self.versions.clear()
+        self._successors.clear()
+        self._ends.clear()
         self.bytes = 0
 
-    def after(self, number: int, digest: bytes) -> list[Version] | None:
-        """The versions that follow (``number``, ``digest``); none where it is the last. ``None`` where the log does
-        not reach back so far, or holds another history."""
-        if not self.versions:
-            return None
-        if (self.versions[-1].number, self.versions[-1].digest) == (number, digest):
-            return []
-        # Subscribers are mostly few versions behind: look from the end.
-        tail: list[Version] = []
-        for version in reversed(self.versions):
-            tail.append(version)
-            if (version.parent, version.parent_digest) == (number, digest):
-                return tail[::-1]
-            if version.parent < number:
-                return None
-        return None
+    def successor(self, number: int) -> Version | None:
+        """The version whose parent is ``number``."""
+        return self._successors.get(number)
+
+    def reaches(self, number: int, digest: bytes) -> bool:
+        """Whether everything that follows (``number``, ``digest``) is here."""
+        following = self._successors.get(number)
+        if following is not None:
+            return following.parent_digest == digest
+        return bool(self.versions) and (self.versions[-1].number, self.versions[-1].digest) == (number, digest)
+
+    def bytes_after(self, number: int) -> int | None:
+        """Bytes of the versions that follow ``number``; ``None`` where the log does not reach back to it."""
+        end = self._ends.get(number)
+        return None if end is None else self._written - end
--- a/lemonway/epochs/member.py
+++ b/lemonway/epochs/member.py
@@ -133,6 +133,7 @@
         self.opened_since = 0  # a value for the next number is accepted somewhere, and not decided; 0: none known
         self.lease_until = NEVER
         self.unfit = ""  # why this node could not take what is in force
+        self.may_vote = True  # the driver has the contents of all that was decided, where it keeps them
         self._out: list[Out] = []
         self._kept: tuple[object, ...] = ()
         self._serial = 0
@@ -208,13 +209,13 @@
         heard = sum(now - peer.echo < self.lease_us for peer in self.peers.values())
         return f"{heard} of {len(self.peers)} other nodes were heard within the lease: no majority"
 
-    def propose(self, settings: bytes, at: int, now: int) -> tuple[str, list[Out]]:
-        """Ask the fleet for a change; gives its name, under which ``outcomes`` tells what becomes of it. Raises
-        ``Busy``."""
+    def propose(self, settings: bytes, at: int, now: int, ident: str = "") -> tuple[str, list[Out]]:
+        """Ask the fleet for a change; gives its name, under which ``outcomes`` tells what becomes of it. A name that is
+        given must not be that of a change that may be decided yet. Raises ``Busy``."""
         if self.proposal is not None:
             raise Busy(f"a proposal of this node is under way: {self.proposal.change.ident}")
         self._serial += 1
-        ident = f"{self.name}-{self.life}-{self._serial}"
+        ident = ident or f"{self.name}-{self.life}-{self._serial}"
         reason = self.fits(settings)
         if not reason and not majority({self.name, *self.alive}, self.lists()):
             reason = "no majority of the nodes shows signs of life"
@@ -489,7 +490,7 @@
     def _vote_here(self, now: int) -> None:
         """This node's own vote in its own ballot."""
         made = self.round
-        if made is None or not self.whole or made.number != self.register.number:
+        if made is None or not (self.whole and self.may_vote) or made.number != self.register.number:
             return
         lives = dict(self.lives)
         answer: Promise | Accepted | Nack
@@ -504,7 +505,7 @@
             self._say(sender, self._log())
         elif number > self.epoch + 1:
             self._say(sender, Pull(self.epoch))
-        elif self.whole:
+        elif self.whole and self.may_vote:
             answer = vote()
             self.rounds = max(self.rounds, self.register.promised[0])
             self._say(sender, answer)
