--- a/lemonway/control/store.py
+++ b/lemonway/control/store.py
@@ -37,12 +37,14 @@
 
 @dataclass(frozen=True)
 class Stored:
-    """What a file held: the last version, its table, and the versions that were appended, for the log."""
+    """What a file held: the last version, its table, and the versions that were appended, for the log. ``length``: of
+    the whole records in bytes; the driver cuts the file to it before it appends."""
 
     number: int
     digest: bytes
     table: Table
     versions: tuple[Version, ...] = ()
+    length: int = 0
 
 
 def _record(kind: str, content: msgspec.Struct) -> bytes:
@@ -68,12 +70,14 @@
     if not data.startswith(MAGIC):
         raise StoreError("not a file of the control's configuration")
     reader = _Reader()
+    length = len(MAGIC)
     for at, body in _bodies(data):
         try:
             reader.take(body)
         except (msgspec.DecodeError, SnapshotError, StoreError) as error:
             raise StoreError(f"byte {at}: {error}") from None
-    return reader.stored()
+        length = at + HEADER_BYTES + len(body)
+    return reader.stored(length)
 
 
 def _bodies(data: bytes) -> Iterator[tuple[int, bytes]]:
@@ -133,8 +137,8 @@
         self._replica.apply(version)
         self._versions.append(version)
 
-    def stored(self) -> Stored:
+    def stored(self, length: int) -> Stored:
         """All of it. Raises ``StoreError`` where the table was cut off."""
         if self._replica is None:
             raise StoreError("the table is cut off")
-        return Stored(self._replica.number, self._replica.digest, self._replica.table, tuple(self._versions))
+        return Stored(self._replica.number, self._replica.digest, self._replica.table, tuple(self._versions), length)
--- a/lemonway/control/subscriber.py
+++ b/lemonway/control/subscriber.py
@@ -36,7 +36,6 @@
 log = logging.getLogger(__name__)
 
 FAR = 1 << 62  # a moment that never comes
-PIECES_A_REPLY = 4  # pieces of a snapshot that are acknowledged together
 RETRY_MOST = 60_000_000  # a publisher can't ask for a longer pause
 LAPSED_ROUNDS = 3  # doublings of the patience with publishers without a lease
 
@@ -389,8 +388,8 @@
             self.counters["control_snapshots"] += 1
             self._progress(now)
             self.holder.replaced()
-        elif assembly.pieces % PIECES_A_REPLY == 0:
-            self._acknowledge()
+        else:
+            self._acknowledge()  # the publisher sends no more than a window of pieces ahead of this
 
     def _on_refuse(self, refuse: Refuse, now: int) -> None:
         self.counters["control_refused"] += 1
