--- a/lemonway/control/store.py
+++ b/lemonway/control/store.py
@@ -2,8 +2,9 @@
 chunks, then each version as it came. No I/O here: the driver writes a new file from ``encode_table``, appends
 ``encode_version`` for each version, and begins anew from time to time.
 
-A record that was cut off at the end is what a crash leaves, and is dropped. Anything else that does not agree is not
-what was written, and is not read."""
+A version that the table holds already is passed over: a driver may write the table at any moment, and append what its
+outputs still ask for. A record that was cut off at the end is what a crash leaves, and is dropped. Anything else that
+does not agree is not what was written, and is not read."""
 
 from __future__ import annotations
 
@@ -132,10 +133,11 @@
         if self._replica is None:
             raise StoreError("a version before the table")
         judgement = self._replica.judge(version)
-        if judgement.verdict is not Verdict.NEXT:
+        if judgement.verdict is Verdict.NEXT:
+            self._replica.apply(version)
+            self._versions.append(version)
+        elif judgement.verdict is not Verdict.DOUBLED:
             raise StoreError(judgement.reason)
-        self._replica.apply(version)
-        self._versions.append(version)
 
     def stored(self, length: int) -> Stored:
         """All of it. Raises ``StoreError`` where the table was cut off."""
--- a/lemonway/control/subscriber.py
+++ b/lemonway/control/subscriber.py
@@ -126,6 +126,7 @@
         self._assembly: Assembly | None = None
         self._attempt = Attempt("", FAR)
         self._dialled_at = self._connected_at = self._heard_at = self._leased_at = NEVER
+        self._behind_since = FAR  # since when the publisher's grants are ahead, and nothing of that has come
         self._stamp = NEVER  # of the last heartbeat on this link
         self._held_here = 0  # grants of this link that were held
         self._heartbeat_at = self._acknowledge_at = FAR
@@ -168,6 +169,7 @@
             return []
         self._move(WatchEvent.CONNECT)
         self._connected_at = self._heard_at = self._leased_at = now
+        self._behind_since = FAR
         self._held_here = 0
         self._reported = None
         identity, replica = self.identity, self.replica
@@ -244,6 +246,10 @@
         self.counters[counter] += 1
         log.warning("control: %s: %s; version %d is kept, and another publisher is tried", self.publisher, reason,
                     self.replica.number)
+        self._fail(now, reason)
+
+    def _fail(self, now: int, reason: str) -> None:
+        """Close the link, and take the next publisher."""
         self._hang_up(reason)
         self._leave(now, reason, self.selection.after_failure(self.publisher, now))
 
@@ -263,8 +269,10 @@
             self._leave(now, reason)
         elif now >= self._leased_at + self._patience():
             self.counters["control_lapsed_publishers"] += 1
-            self._hang_up("it has no lease to give")
-            self._leave(now, "it has no lease to give", self.selection.after_failure(self.publisher, now))
+            self._fail(now, "it has no lease to give")
+        elif now >= self._behind_since + self.terms.stuck_us:
+            self.counters["control_stuck_publishers"] += 1
+            self._fail(now, "it has later versions and does not send them")
         elif now >= self._heartbeat_at:
             self._heartbeat(now)
         elif now >= self._acknowledge_at:
@@ -324,12 +332,15 @@
         if not grant.remaining:
             self.counters["control_grants_empty"] += 1
             return
-        self._leased_at = now
+        if grant.stamp + grant.remaining > now:  # one that came too late is of no use
+            self._leased_at = now
         if self.lease.hold(grant, self.replica.number):
             self._held_here += 1
+            self._behind_since = FAR
             self.selection.succeeded(self.publisher)
         else:
             self.counters["control_grants_ahead"] += 1
+            self._behind_since = min(self._behind_since, now)
 
     def _on_delta(self, version: Version, now: int) -> None:
         if self.state is not WatchState.WATCHING:
@@ -355,7 +366,8 @@
         self._leave(now, reason, self.selection.after_gap(self.publisher, now))
 
     def _progress(self, now: int) -> None:
-        """Something is to be acknowledged, soon."""
+        """Something came that is to be acknowledged, soon."""
+        self._behind_since = FAR
         if self._acknowledge_at == FAR:
             self._acknowledge_at = now + self.terms.acknowledge_us
 
@@ -389,6 +401,7 @@
             self._progress(now)
             self.holder.replaced()
         else:
+            self._behind_since = FAR
             self._acknowledge()  # the publisher sends no more than a window of pieces ahead of this
 
     def _on_refuse(self, refuse: Refuse, now: int) -> None:
--- a/lemonway/control/terms.py
+++ b/lemonway/control/terms.py
@@ -19,6 +19,7 @@
     backoff_most_us: int = 10 * SECOND
     spread_us: int = SECOND  # the loss of a working link is followed by a pause drawn up to this
     lapsed_us: int = 5 * SECOND  # a publisher that had no lease to give for so long is left; grows where none has one
+    stuck_us: int = 30 * SECOND  # a publisher that is ahead for so long, and sends nothing of it, is left
     lease_most_us: int = 60 * SECOND  # a longer grant is refused
 
 
--- a/lemonway/control/voter.py
+++ b/lemonway/control/voter.py
@@ -44,6 +44,10 @@
 
 _proposed_decoder: msgspec.msgpack.Decoder[Proposed] = msgspec.msgpack.Decoder(Proposed)
 
+class VoteError(Exception):
+    """A vote that is not on disk, and can't be taken back."""
+
+
 Validate = Callable[[Sequence[Operation], Table], str]
 
 
@@ -175,9 +179,14 @@
         return self._done(now)
 
     def not_kept(self) -> None:
-        """The driver could not keep the vote: what follows it in the same outputs must not be sent."""
+        """The driver could not keep the vote: it must not carry out any ``SendVoter`` of the same outputs, but all the
+        rest. Each call asks for the vote to be kept anew, so until it is the other voters hear nothing from this one.
+        Raises ``VoteError`` where there is no other voter: the process has to end, since what it decided is not on
+        disk, and nothing that follows may be carried out."""
         self.counters["control_votes_not_kept"] += 1
-        self.epochs.not_kept()
+        if self.watch is None:
+            raise VoteError("the only voter can't keep its vote")
+        self.epochs.keep_again()
 
     # downstream
 
--- a/lemonway/epochs/member.py
+++ b/lemonway/epochs/member.py
@@ -590,5 +590,13 @@
         return out
 
     def not_kept(self) -> None:
-        """The driver could not keep what it was told to: this node's votes count no more until it has rejoined."""
+        """The driver could not keep what it was told to: this node's votes count no more until it has rejoined, not in
+        a ballot of its own either."""
         self.whole, self.states, self._kept = False, {}, ()
+        if self.round is not None:
+            self.round.answers.pop(self.name, None)
+
+    def keep_again(self) -> None:
+        """The driver could not keep what it was told to, and has sent nothing that followed it: nothing is forgotten,
+        and each call asks for it anew until it is kept."""
+        self._kept = ()
--- a/lemonway/kit/emulator/policy_day.py
+++ b/lemonway/kit/emulator/policy_day.py
@@ -26,6 +26,7 @@
 from ...epochs.member import Busy, Epochs, Terms
 from ...epochs.messages import Keep, Out, Send
 from .promise import History, check
+from .shorten import shorten
 
 MS = 1000
 SETTLE = 4000 * MS
@@ -254,18 +255,7 @@
 
 def shortened(seed: int, mix: Mix) -> list[Event]:
     """The schedule of a day that breaks, without what it breaks without."""
-    events = schedule(seed, mix)
-    size = len(events) // 2
-    while size:
-        at = 0
-        while at < len(events):
-            fewer = events[:at] + events[at + size:]
-            if play(seed, mix, fewer)[1]:
-                events = fewer
-            else:
-                at += size
-        size //= 2
-    return events
+    return shorten(schedule(seed, mix), lambda fewer: bool(play(seed, mix, fewer)[1]))
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/lemonway/kit/emulator/replica_day.py
+++ b/lemonway/kit/emulator/replica_day.py
@@ -37,6 +37,7 @@
 )
 from ...replication.placement import Placement, quorum
 from ...replication.replica import Replica, Terms
+from .shorten import shorten as shortened
 
 MS = 1000
 TICK = 5 * MS
@@ -424,18 +425,8 @@
 
 
 def shorten(seed: int, mix: Mix, events: list[Event]) -> list[Event]:
-    """A schedule that still fails and from which no event can be left out (delta debugging by halves, then ones)."""
-    size = max(1, len(events) // 2)
-    while size:
-        n = 0
-        while n < len(events):
-            fewer = events[:n] + events[n + size:]
-            if check(play(seed, mix, fewer), mix):
-                events = fewer
-            else:
-                n += size
-        size //= 2
-    return events
+    """A schedule that still fails and from which no event can be left out."""
+    return shortened(events, lambda fewer: bool(check(play(seed, mix, fewer), mix)))
 
 
 def run_seeds(seeds: range, mix: Mix) -> list[tuple[int, list[str]]]:
