Take pacing out of the publisher and the statuses out of the roles

What is rationed and paced is pacing.py, what operators are told is status.py. A node whose attempts fail waits 5 s at most, not 10: after control was gone it has to be back within 18 s, with a refusal of 3 s on the way.

--- a/lemonway/control/agent.py
+++ b/lemonway/control/agent.py
@@ -4,12 +4,12 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from .lease import NEVER, Lease
 from .messages import AgentOutput, FromPublisher, KeepTable, KeepVersion, Report, SubscriberOutput
 from .replica import Replica
 from .resources import Table
+from .status import AgentStatus
 from .store import Stored
 from .subscriber import Condition, Identity, Subscriber
 from .terms import AgentTerms
@@ -19,26 +19,6 @@
 NOTHING: list[AgentOutput] = []  # what most calls give; never added to
 
 
-@dataclass(frozen=True)
-class AgentStatus:
-    """For operators. Times in microseconds."""
-
-    name: str
-    number: int
-    digest: str
-    content: str
-    resources: int
-    bytes: int
-    serving: bool
-    why_not: str
-    unfit: str
-    lease_us: int
-    age_us: int
-    watch: str
-    publisher: str
-    refused: str
-
-
 class Agent:
     """The node's part. Each call gives outputs that the driver carries out in order.
 
--- a/lemonway/control/relay.py
+++ b/lemonway/control/relay.py
@@ -4,36 +4,18 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from .lease import NEVER, Lease
 from .messages import FromPublisher, FromSubscriber, PublisherOutput, RelayOutput, Report, SubscriberOutput
 from .publisher import Publisher
 from .replica import Replica
 from .resources import Table
+from .status import RelayStatus
 from .subscriber import Condition, Identity, Subscriber
 from .terms import PublishTerms, WatchTerms
 from .versions import Version
 
 
-@dataclass(frozen=True)
-class RelayStatus:
-    """For operators. Times in microseconds."""
-
-    name: str
-    number: int
-    digest: str
-    content: str
-    resources: int
-    bytes: int
-    lease_us: int
-    watch: str
-    publisher: str
-    refused: str
-    links: int
-    report: Report
-
-
 class Relay:
     """One relay. Each call gives outputs that the driver carries out in order; ``due`` is when ``tick`` is wanted."""
 
--- a/lemonway/control/roster.py
+++ b/lemonway/control/roster.py
@@ -8,7 +8,7 @@
 from itertools import islice
 
 from .messages import WORST_MOST, Report, Standing
-from .subscription import Subscription, SubscriptionState
+from .subscription import Subscription
 
 
 class Roster:
@@ -28,6 +28,10 @@
     def __iter__(self) -> Iterator[Subscription]:
         return iter(self.links.values())
 
+    def holds(self, subscription: Subscription) -> bool:
+        """Whether its link is there yet."""
+        return self.links.get(subscription.link) is subscription
+
     def open(self, link: int, now: int) -> None:
         """A link on which nothing was said yet."""
         self.links[link] = Subscription(link, now)
@@ -103,7 +107,3 @@
     def relays(self) -> list[Subscription]:
         """Those that publish to others."""
         return [each for each in self.names.values() if each.relay]
-
-    def count(self, state: SubscriptionState) -> int:
-        """How many are in this state; costs a pass over all."""
-        return sum(each.state is state for each in self.links.values())
--- a/lemonway/control/terms.py
+++ b/lemonway/control/terms.py
@@ -16,7 +16,7 @@
     acknowledge_us: int = 50_000  # an acknowledgement waits so long for further versions
     connect_us: int = 2 * SECOND  # for a connection to be made
     backoff_us: int = 200_000  # the first pause before the next connection; doubles, with full jitter
-    backoff_most_us: int = 10 * SECOND
+    backoff_most_us: int = 5 * SECOND
     spread_us: int = SECOND  # the loss of a working link is followed by a pause drawn up to this
     lapsed_us: int = 5 * SECOND  # a publisher that had no lease to give for so long is left; grows where none has one
     stuck_us: int = 30 * SECOND  # a publisher that is ahead for so long, and sends nothing of it, is left
--- a/lemonway/control/voter.py
+++ b/lemonway/control/voter.py
@@ -7,7 +7,6 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
@@ -31,6 +30,7 @@
 from .publisher import Publisher
 from .replica import Replica, Verdict
 from .resources import Operation, ResourceError, Table, check
+from .status import HistoryEntry, RelayStanding, VoterStatus
 from .store import Stored
 from .subscriber import FAR, Condition, Identity, Subscriber, WatchState
 from .terms import PublishTerms, VoterTerms
@@ -58,52 +58,6 @@
     LACKING = "lacking"  # it watches another voter until it has
 
 
-@dataclass(frozen=True)
-class HistoryEntry:
-    """One number that was decided. ``operations`` and ``digest`` only of versions that the log holds yet."""
-
-    number: int
-    committed: bool
-    ident: str
-    reason: str
-    by: str
-    at: int
-    operations: int
-    digest: str
-
-
-@dataclass(frozen=True)
-class RelayStanding:
-    """A relay, as this voter knows it."""
-
-    name: str
-    number: int
-    serving: bool
-    heard_us: int
-    report: Report | None
-
-
-@dataclass(frozen=True)
-class VoterStatus:
-    """For operators. Times in microseconds."""
-
-    name: str
-    number: int
-    digest: str
-    content: str
-    resources: int
-    bytes: int
-    decided: int
-    contents: str
-    serving: bool
-    why_not: str
-    lease_us: int
-    waiting: int
-    voters: dict[str, dict[str, object]]
-    relays: tuple[RelayStanding, ...]
-    nodes: Report
-
-
 def read_proposed(settings: bytes) -> Proposed:
     """A change's content. Raises ``ValueError`` for what no voter proposes."""
     try:
--- a/lemonway/epochs/messages.py
+++ b/lemonway/epochs/messages.py
@@ -12,8 +12,9 @@
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
-    """How an epoch was decided. ``commit``: ``settings`` (JSON, a merge patch on each node's own) take hold; else
-    nothing does, for ``reason``. ``at``: Unix milliseconds at the node ``by`` which it was proposed."""
+    """How an epoch was decided. ``commit``: ``settings`` take hold (a fleet's: JSON, a merge patch on each node's own;
+    a control group's: ``versions.Proposed``); else nothing does, for ``reason``. ``at``: Unix milliseconds at the node
+    ``by`` which it was proposed."""
 
     number: int
     ident: str
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -474,7 +474,7 @@
         self.assertEqual(self.counters["control_snapshots_made"], 1)
         self.assertIs(of_type(m.SnapshotPiece, first[0] + rest[0])[3], of_type(m.SnapshotPiece, rest[4])[3])
         self.publisher.tick(60 * SECOND)
-        self.assertEqual(self.publisher._snapshots, [], "forgotten when nobody has needed it for a while")
+        self.assertEqual(self.publisher.pacer.snapshots.held, [], "forgotten when nobody has needed it for a while")
 
     def test_no_more_than_a_window_is_sent_ahead(self) -> None:
         self.make(PublishTerms(log_versions_most=4, piece_bytes=8, pieces_ahead=3, silent_us=60 * SECOND), 20)
