--- a/lemonway/kit/emulator/policy_day.py
+++ b/lemonway/kit/emulator/policy_day.py
@@ -25,8 +25,9 @@
 
 from ...epochs.member import Busy, Epochs, Terms
 from ...epochs.messages import Keep, Message, Out, Send
-from .fault_day import MS, Event, FaultDay, in_order, shorten
+from .fault_day import MS, Event, FaultDay, in_order
 from .promise import History, check
+from .shorten import shorten
 
 SETTLE = 4000 * MS
 
--- a/lemonway/kit/emulator/replica_day.py
+++ b/lemonway/kit/emulator/replica_day.py
@@ -33,9 +33,10 @@
 from ...replication.placement import Placement
 from ...replication.registers import same
 from ...replication.replica import Replica, Terms
-from .fault_day import MS, Event, FaultDay, shorten
+from .fault_day import MS, Event, FaultDay
 from .replica_faults import MIXES, Mix, schedule
 from .replica_history import History, Run, answered, check
+from .shorten import shorten
 
 TICK = 5 * MS
 SETTLE = 3000 * MS  # from the end of the faults to the last questions
