--- a/lemonway/net/protocol/peers.py
+++ b/lemonway/net/protocol/peers.py
@@ -9,8 +9,6 @@
 
 import logging
 import random
-import socket
-import struct
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -24,14 +22,12 @@
 from ...replication.messages import VERSION, Hello, Message, encode
 from ..transport.clock import Turns
 from ..transport.connection import Connection
+from .framing import FramedConnection, frame, watch_liveness
 
 log = logging.getLogger(__name__)
 
-HEAD = 4  # bytes of a message's length
 MESSAGE_MOST = 256 * 1024  # bytes of one message
-READ_MOST = 16 * 1024  # what one read may add beyond a message that is not whole yet
 REDIAL, REDIAL_MOST = 0.05, 1.0  # seconds from a lost link to the next dial, doubling
-UNACKED_MS = 5000  # the system gives up a link on which nothing is acknowledged for so long
 
 Receive = Callable[[str, int, Any, int], None]
 
@@ -43,47 +39,33 @@
     return xxh3_64_intdigest("\x00".join(sorted(names)).encode())
 
 
-class Accepted(Connection):
+class Accepted(FramedConnection):
     """A peer speaks; this end only listens."""
 
     def __init__(self, mesh: Mesh) -> None:
-        super().__init__(mesh.turns, MESSAGE_MOST + HEAD + READ_MOST, 1024)
+        super().__init__(mesh.turns, MESSAGE_MOST, 1024)
         self.mesh = mesh
         self.peer, self.life, self.epoch = "", 0, 0
-        self._in_head = True
 
     def opened(self) -> None:
         self.mesh.accepted[self] = None
-        self.expect(HEAD)
+        super().opened()
 
     def ended(self) -> None:
         self.mesh.accepted.pop(self, None)
 
-    def lineReceived(self, line: bytes) -> None:  # there are no lines on these links
-        self.refuse_more()
-
-    def blockReceived(self, block: bytes) -> None:
-        if self._in_head:
-            size = struct.unpack(">I", block)[0]
-            if not 0 < size <= MESSAGE_MOST:
-                self._spoilt()
-                return
-            self._in_head = False
-            self.expect(size)
-            return
-        self._in_head = True
-        self.expect(HEAD)
+    def message_received(self, block: bytes) -> None:
         try:
             message = decode(block)
         except msgspec.DecodeError:
-            self._spoilt()
+            self.frame_rejected()
             return
         if isinstance(message, Hello):
             self._hello(message)
         elif self.peer:
             self.mesh.receive(self.peer, self.life, message, self.epoch)
         else:
-            self._spoilt()
+            self.frame_rejected()
 
     def _hello(self, hello: Hello) -> None:
         mesh = self.mesh
@@ -98,7 +80,7 @@
             return
         self.peer, self.life, self.epoch = hello.name, hello.life, hello.epoch
 
-    def _spoilt(self) -> None:
+    def frame_rejected(self) -> None:
         self.mesh.counters["repl_spoilt"] += 1
         self.close()
 
@@ -111,10 +93,7 @@
         self.link = link
 
     def opened(self) -> None:
-        transport: Any = self.transport
-        transport.setTcpKeepAlive(1)
-        if hasattr(socket, "TCP_USER_TIMEOUT"):
-            transport.getHandle().setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+        watch_liveness(self.transport)
         self.link.up(self)
 
     def dataReceived(self, data: bytes) -> None:
@@ -248,10 +227,11 @@
         if len(data) > MESSAGE_MOST:
             self.counters["repl_too_large"] += 1
             return
-        if side.outbound.room < len(data) + HEAD:
+        framed = frame(data)
+        if side.outbound.room < len(framed):
             self.counters["repl_cut"] += 1
             log.info("replication: %s takes nothing; its link is cut at %d bytes", side.link.name,
                      len(side.outbound))
             side.abort()
             return
-        side.send(struct.pack(">I", len(data)) + data)
+        side.send(framed)
