--- a/lemonway/kit/cli/__init__.py
+++ b/lemonway/kit/cli/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from . import demo, experiment, importers, policy, rehearse, scenarios, serve
+from . import control, demo, experiment, importers, policy, rehearse, scenarios, serve
 from .root import main
 
 __all__ = ["main"]
@@ -16,6 +16,7 @@
 main.add_command(experiment.experiment)
 main.add_command(scenarios.scenarios)
 main.add_command(policy.policy)
+main.add_command(control.control)
 main.add_command(importers.importers)
 main.add_command(demo.demo)
 main.add_command(demo.cases)
--- a/lemonway/kit/policy.py
+++ b/lemonway/kit/policy.py
@@ -16,8 +16,10 @@
     """The node could not be asked, or turned the call down; the message says which node and why."""
 
 
-def call(node: str, path: str, body: bytes | None = None, timeout: float = 5.0) -> dict[str, Any]:
-    """What the node at HOST:PORT (its admin address) says. Raises ``CallError``."""
+def call(node: str, path: str, body: bytes | None = None, timeout: float = 5.0,
+         missing: str = "its policy is its own: start it with --policy") -> dict[str, Any]:
+    """What the node at HOST:PORT (its admin address) says; ``missing`` says why it may not know the call. Raises
+    ``CallError``."""
     request = urllib.request.Request(f"http://{node}{path}", data=body, method="GET" if body is None else "POST")
     try:
         with urllib.request.urlopen(request, timeout=timeout) as reply:
@@ -26,7 +28,7 @@
     except urllib.error.HTTPError as error:
         text = error.read().decode("utf-8", "replace")
         if error.code == 404:
-            raise CallError(f"{node}: its policy is its own: start it with --policy") from None
+            raise CallError(f"{node}: {missing}") from None
         try:
             said = str(json.loads(text)["error"])
         except (ValueError, KeyError, TypeError):
--- /dev/null
+++ b/lemonway/net/program/control_file.py
@@ -0,0 +1,246 @@
+"""The files of the control group: ``deploy/control.json`` for nodes, ``deploy/control-machine.json`` for its own
+machines, and a change that an operator proposes.
+
+The types here are the files' checks, and the published schemas in ``deploy/schema/`` are made from them. Loaded only
+where a control group is used, so that a node without one needs none of the libraries."""
+
+from __future__ import annotations
+
+import json
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from ...control.resources import Delete, Operation, Put, ResourceError, check
+from ...control.terms import SECOND, AgentTerms, PublishTerms, VoterTerms, WatchTerms
+from .config import ConfigError, parse_address
+
+MEGABYTE = 1 << 20
+VOTER_NUMBERS = (1, 3, 5)
+
+Address = tuple[str, int]
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^\S+$")]
+Milliseconds = Annotated[float, Meta(ge=1, le=3_600_000)]
+
+
+class WatchFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What the files of all who watch a publisher have in common."""
+
+    schema: str = msgspec.field(default="", name="$schema")
+    heartbeat_ms: Annotated[Milliseconds, Meta(description="between questions for the lease")] = 1000
+    silent_ms: Annotated[Milliseconds, Meta(description="a publisher that says nothing for so long is left")] = 3000
+    connect_ms: Annotated[Milliseconds, Meta(description="for a connection to be made")] = 2000
+    acknowledge_ms: Annotated[Milliseconds, Meta(description=(
+        "an acknowledgement waits so long for further versions"))] = 50
+    backoff_ms: Annotated[Milliseconds, Meta(description="the first pause before the next connection; doubles")] = 200
+    backoff_most_ms: Annotated[Milliseconds, Meta(description="the longest pause before a connection")] = 10_000
+    spread_ms: Annotated[Milliseconds, Meta(description=(
+        "the loss of a working link is followed by a pause drawn up to this"))] = 1000
+
+    def watch_terms(self) -> WatchTerms:
+        """The figures as the control core takes them."""
+        return WatchTerms(
+            heartbeat_us=_microseconds(self.heartbeat_ms), silent_us=_microseconds(self.silent_ms),
+            acknowledge_us=_microseconds(self.acknowledge_ms), connect_us=_microseconds(self.connect_ms),
+            backoff_us=_microseconds(self.backoff_ms), backoff_most_us=_microseconds(self.backoff_most_ms),
+            spread_us=_microseconds(self.spread_ms))
+
+
+class ControlFile(WatchFile, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A node's part in the control group, given with --control. All nodes may get the same."""
+
+    relays: Annotated[dict[Name, str], Meta(min_length=1, max_length=1000, description=(
+        "each relay's name and the HOST:PORT on which it takes watches"))]
+    when_lost: Annotated[Literal["serve", "stop"], Meta(description=(
+        "past its lease a node serves on with the last good version, or takes no work"))] = "serve"
+    stale_most_s: Annotated[float, Meta(ge=1, le=31_536_000, description=(
+        "with serve: for so long past its lease"))] = 3600
+    state: Annotated[str, Meta(description=(
+        "a file on a disk that outlasts the process, in which the last good table is kept: a node that starts while "
+        "control is gone serves by it"))] = ""
+    table_mb: Annotated[float, Meta(ge=1, le=10_000, description="a larger table is refused")] = 48
+
+    def agent_terms(self) -> AgentTerms:
+        """The figures as the control core takes them."""
+        return AgentTerms(
+            watch=self.watch_terms(), serve_when_lost=self.when_lost == "serve",
+            stale_most_us=int(self.stale_most_s * SECOND), table_bytes_most=int(self.table_mb * MEGABYTE))
+
+
+class VoterAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Where one voter listens."""
+
+    vote: Annotated[str, Meta(description="HOST:PORT for the other voters")]
+    watch: Annotated[str, Meta(description="HOST:PORT for the watches of relays and of voters that are behind")]
+
+
+class ControlMachineFile(WatchFile, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """One machine of the control group, for `lemonway control run`."""
+
+    role: Annotated[Literal["voter", "relay"], Meta(description="voters decide; relays copy and serve nodes")]
+    name: Annotated[Name, Meta(description="of this machine; a voter's is its entry in voters")]
+    voters: Annotated[dict[Name, VoterAddress], Meta(min_length=1, max_length=5, description=(
+        "every voter by name; 1, 3 or 5, the same on all machines"))]
+    admin: Annotated[str, Meta(description="HOST:PORT for operators and the platform's checks")]
+    listen: Annotated[str, Meta(description=(
+        "HOST:PORT on which watches are taken; a voter's may be left to its entry in voters"))] = ""
+    disk: Annotated[str, Meta(description=(
+        "a voter's folder on a disk that lasts: its vote, the table and the versions"))] = ""
+    first_start: Annotated[bool, Meta(description=(
+        "the control group starts for the first time. Never true for one that is started again"))] = False
+    lease_ms: Annotated[Milliseconds, Meta(description=(
+        "a voter that has not heard from a majority for so long grants nothing; all grants are cut from it"))] = 9000
+    voter_heartbeat_ms: Annotated[Milliseconds, Meta(description="between signs of life among voters")] = 250
+    queue_most: Annotated[int, Meta(ge=1, le=100_000, description="proposals that wait at a voter")] = 256
+    subscribers_most: Annotated[int, Meta(ge=1, le=100_000, description="watches taken at one time")] = 2000
+    subscriber_silent_ms: Annotated[Milliseconds, Meta(description=(
+        "a subscriber that says nothing for so long is dropped"))] = 6000
+    snapshots_most: Annotated[int, Meta(ge=1, le=10_000, description="snapshots being sent at one time")] = 32
+    snapshot_mb_s: Annotated[float, Meta(ge=0.1, le=10_000, description=(
+        "of snapshots a second, over all subscribers"))] = 64
+    log_versions_most: Annotated[int, Meta(ge=1, le=1_000_000, description=(
+        "versions that are kept to be sent to those who are behind"))] = 4096
+    log_mb_most: Annotated[float, Meta(ge=0.1, le=10_000, description="what those versions may take")] = 16
+
+    def publish_terms(self) -> PublishTerms:
+        """The figures as the control core takes them."""
+        return PublishTerms(
+            subscribers_most=self.subscribers_most, silent_us=_microseconds(self.subscriber_silent_ms),
+            snapshots_most=self.snapshots_most, snapshot_rate=int(self.snapshot_mb_s * MEGABYTE),
+            log_versions_most=self.log_versions_most, log_bytes_most=int(self.log_mb_most * MEGABYTE))
+
+    def voter_terms(self) -> VoterTerms:
+        """The figures as the control core takes them."""
+        return VoterTerms(lease_us=_microseconds(self.lease_ms), heartbeat_us=_microseconds(self.voter_heartbeat_ms),
+                          watch=self.watch_terms(), queue_most=self.queue_most)
+
+    def watch_addresses(self) -> dict[str, Address]:
+        """Where each voter takes watches."""
+        return {name: _address(f"voters.{name}.watch", each.watch) for name, each in self.voters.items()}
+
+    def vote_addresses(self) -> dict[str, Address]:
+        """Where each voter listens for the others."""
+        return {name: _address(f"voters.{name}.vote", each.vote) for name, each in self.voters.items()}
+
+    def listen_address(self) -> Address:
+        """Where this machine takes watches."""
+        if not self.listen and self.role == "voter":
+            return self.watch_addresses()[self.name]
+        return _address("listen", self.listen)
+
+
+class PutResource(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A resource that is to have this value."""
+
+    kind: Annotated[Literal["class", "tenant", "route", "limit"], Meta(description="of resource")]
+    name: Annotated[str, Meta(min_length=1, max_length=256)]
+    value: Annotated[Any, Meta(description="JSON; what it holds depends on the kind")]
+
+
+class DeleteResource(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A resource that is to be no more; nodes go back to what their own files say."""
+
+    kind: Annotated[Literal["class", "tenant", "route", "limit"], Meta(description="of resource")]
+    name: Annotated[str, Meta(min_length=1, max_length=256)]
+
+
+class ControlChangeFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A change, for `lemonway control propose`: it holds whole or not at all."""
+
+    schema: str = msgspec.field(default="", name="$schema")
+    put: Annotated[list[PutResource], Meta(description="resources to set")] = []
+    delete: Annotated[list[DeleteResource], Meta(description="resources to delete")] = []
+
+    def operations(self) -> list[Operation]:
+        """The change as the control core takes it. Raises ``ResourceError``."""
+        made: list[Operation] = [Delete(each.kind, each.name) for each in self.delete]
+        made += [Put(each.kind, each.name, msgspec.json.encode(each.value)) for each in self.put]
+        if not made:
+            raise ResourceError("put, delete: nothing to change")
+        check(made)
+        return made
+
+
+def _microseconds(milliseconds: float) -> int:
+    return int(milliseconds * 1000)
+
+
+def _address(key: str, value: str) -> Address:
+    found = parse_address(key, value)
+    return found.host, found.port
+
+
+def schemas() -> dict[str, dict[str, Any]]:
+    """The published schemas, by file name."""
+    found: dict[str, dict[str, Any]] = {}
+    kind: Any
+    for kind, name in ((ControlFile, "control"), (ControlMachineFile, "control-machine"),
+                       (ControlChangeFile, "control-change")):
+        others: dict[str, Any] = msgspec.json.schema(kind)["$defs"]
+        top = others.pop(kind.__name__)
+        found[f"{name}.schema.json"] = {
+            "$schema": "https://json-schema.org/draft/2020-12/schema", "title": f"lemonway {name.replace('-', ' ')}",
+            **top, **({"$defs": others} if others else {})}
+    return found
+
+
+def _read_json(option: str, path: str) -> Any:
+    try:
+        with open(path, encoding="utf-8") as file:
+            return json.load(file)
+    except OSError as error:
+        raise ConfigError(f"{option}: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{option}: {path}: not JSON: {error}") from None
+
+
+def load_control(path: str, option: str = "--control") -> ControlFile:
+    """A node's file. Raises ``ConfigError`` that names the file and the key."""
+    try:
+        file = msgspec.convert(_read_json(option, path), ControlFile)
+        relay_addresses(file)
+    except (msgspec.ValidationError, ConfigError) as error:
+        raise _named(option, path, error) from None
+    return file
+
+
+def relay_addresses(file: ControlFile) -> dict[str, Address]:
+    """Where each relay takes watches. Raises ``ConfigError``."""
+    return {name: _address(f"relays.{name}", at) for name, at in file.relays.items()}
+
+
+def load_control_machine(path: str, option: str = "--file") -> ControlMachineFile:
+    """A control machine's file. Raises ``ConfigError`` that names the file and the key."""
+    try:
+        file = msgspec.convert(_read_json(option, path), ControlMachineFile)
+        _check_machine(file)
+    except (msgspec.ValidationError, ConfigError) as error:
+        raise _named(option, path, error) from None
+    return file
+
+
+def _check_machine(file: ControlMachineFile) -> None:
+    if len(file.voters) not in VOTER_NUMBERS:
+        raise ConfigError(f"voters: {len(file.voters)}, wanted 1, 3 or 5")
+    if file.role == "voter" and file.name not in file.voters:
+        raise ConfigError(f"voters: this voter, {file.name}, is not among them")
+    if file.role == "voter" and not file.disk:
+        raise ConfigError("disk: missing: a voter needs a folder on a disk that lasts")
+    file.vote_addresses(), file.watch_addresses(), file.listen_address()
+    parse_address("admin", file.admin)
+
+
+def _named(option: str, path: str, error: Exception) -> ConfigError:
+    text = str(error)
+    return error if isinstance(error, ConfigError) and text.startswith(option) else ConfigError(
+        f"{option}: {path}: {text}")
+
+
+def read_change(body: bytes) -> list[Operation]:
+    """The operations of a change file. Raises ``ValueError`` that names the key."""
+    try:
+        file: ControlChangeFile = msgspec.json.decode(body, type=ControlChangeFile)
+    except msgspec.DecodeError as error:
+        raise ValueError(str(error)) from None
+    return file.operations()
--- /dev/null
+++ b/lemonway/net/program/control_node.py
@@ -0,0 +1,119 @@
+"""The parts of one node that take its configuration from the control group (``--control FILE``)."""
+
+from __future__ import annotations
+
+import json
+import logging
+import random
+from typing import TYPE_CHECKING, Any
+
+from ...control.agent import Agent
+from ...control.store import Stored, StoreError
+from ...interface import Settings
+from ..protocol.control import WatchClient
+from ..routing.configured import Configured, TableInForce
+from ..routing.layered import LayeredSettings
+from .config import Config, ConfigError
+from .control_file import load_control, relay_addresses
+from .control_store import NodeStore, TableFile
+
+if TYPE_CHECKING:
+    from .node import Node
+
+log = logging.getLogger(__name__)
+
+
+class Configuring:
+    """The agent, its link, its file and what it means for the node."""
+
+    agent: Agent
+
+    def __init__(self, node: Node, path: str) -> None:
+        """Raises ``ConfigError``."""
+        self.node, self.path, self.file = node, path, load_control(path)
+        clock, counters = node.turns.clock, node.core.counters
+        layered = LayeredSettings(node.config.raw_settings, node.config.settings)
+        self.in_force = TableInForce(node.core, layered, self._check, node.switch)
+        node.switch(layered.settings, layered.live, layered.teams)
+        self.links = WatchClient(node.reactor, node.turns, relay_addresses(self.file), counters)
+        self.state: TableFile | None = None
+        if self.file.state:
+            self.state = TableFile(self.file.state, node.turns, lambda: self.agent.table, counters)
+        self.agent = Agent(node.config.name, clock.to_unix_us(clock.now), list(self.file.relays),
+                           self.file.agent_terms(), clock.now, random.random, self.in_force.apply, counters,
+                           self._stored())
+        self.configured = Configured(node.core, self.agent, self.links, NodeStore(self.state) if self.state else None)
+        self.links.events = self.configured.driver
+
+    def _stored(self) -> Stored | None:
+        """What the state file holds. One that can't be read is passed over: the relays have the table."""
+        if self.state is None:
+            return None
+        try:
+            stored = self.state.load()
+        except (OSError, StoreError) as error:
+            self.node.core.counters["control_state_unread"] += 1
+            log.error("control: state: %s: %s; this node starts without it", self.file.state, error)
+            return None
+        if stored is not None:
+            log.info("control: state: %s: version %d, %d resources", self.file.state, stored.number,
+                     len(stored.table))
+        return stored
+
+    def _check(self, settings: Settings, live: list[int]) -> None:
+        """Raises ``ValueError`` for settings that this node can't take. The decision module is made with them."""
+        try:
+            if self.node.replicating is not None:
+                self.node.replicating.check(settings)
+            self.node.core.try_out(settings, live)
+        except ConfigError as error:
+            raise ValueError(str(error)) from None
+
+    def start(self) -> None:
+        self.configured.start()
+
+    def stop(self) -> None:
+        self.configured.driver.stop()
+        self.links.hang_up()
+        if self.state is not None:
+            self.state.close()
+
+    # SIGHUP
+
+    def layered(self, config: Config) -> LayeredSettings:
+        """A node's file read again, with the table in force on top of it. Raises ``ConfigError`` or ``ValueError``."""
+        layered = LayeredSettings(config.raw_settings, config.settings, self.in_force.layered)
+        layered.over_table(self.agent.table, self._check)
+        return layered
+
+    def take(self, layered: LayeredSettings) -> None:
+        """The node goes by its file read again; a version that did not fit the old one may fit now."""
+        self.in_force.replace_own(layered)
+        self.agent.unfit = ""
+        self._reload_file()
+        self.configured.weigh()
+
+    def _reload_file(self) -> None:
+        """The list of relays is taken at once; everything else in the file waits for the next start."""
+        try:
+            fresh = load_control(self.path)
+        except ConfigError as error:
+            self.node.core.counters["control_reloads_failed"] += 1
+            log.error("SIGHUP: %s; the old file is kept", error)
+            return
+        if fresh.relays != self.file.relays:
+            self.links.addresses = relay_addresses(fresh)
+            self.configured.driver.carry(self.agent.use(list(fresh.relays), self.node.turns.clock.now))
+            log.info("SIGHUP: control: %d relays", len(fresh.relays))
+        self.file = fresh
+
+    # the admin address
+
+    def routes(self) -> dict[bytes, tuple[bytes, Any]]:
+        return {b"/control": (b"GET", lambda body: (200, json.dumps(self.configured.status(), default=_plain).encode()
+                                                    + b"\n"))}
+
+
+def _plain(value: Any) -> Any:
+    """What JSON has no word for."""
+    return value.hex() if isinstance(value, bytes) else str(value)
--- a/lemonway/net/program/figures.py
+++ b/lemonway/net/program/figures.py
@@ -16,6 +16,7 @@
     names = [lane.name or str(n) for n, lane in enumerate(core.settings.lanes)]
     by_class = {figure: dict(zip(names, core.by_class[figure], strict=True)) for figure in BY_CLASS}
     plain = {"in_flight": core.in_flight} | {figure: core.counters[figure] for figure in PLAIN}
-    if "policy_epoch" in core.counters:  # only where the policy is the fleet's
-        plain["policy_epoch"] = core.counters["policy_epoch"]
+    for gauge in ("policy_epoch", "control_version", "control_age_s"):  # only where those parts are on
+        if gauge in core.counters:
+            plain[gauge] = core.counters[gauge]
     return exposition(by_class, plain)
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -40,6 +40,7 @@
 if TYPE_CHECKING:
     from ..protocol.uwsgi import Site, UwsgiFront
     from ..routing.shared import SharedKeys
+    from .control_node import Configuring
     from .policy import Governing
     from .replication import Replicating
 
@@ -113,10 +114,10 @@
 class Node:
     def __init__(self, config: Config, reactor: Any, site: Site | None = None, clock: Clock | None = None,
                  replication: str | None = None, policy: str | None = None, own: Own | None = None,
-                 own_path: str | None = None) -> None:
+                 own_path: str | None = None, control: str | None = None) -> None:
         """``own``: the node's own settings, read again from ``own_path`` at SIGHUP. ``replication``: the file that has
-        this node share its keys with others; ``policy``: the one that makes its policy the fleet's. Raises
-        ``ConfigError`` for them."""
+        this node share its keys with others; ``policy``: the one that makes its policy the fleet's; ``control``: the
+        one that has its configuration come from the control group. Raises ``ConfigError`` for them."""
         self.config, self.reactor = config, reactor
         self.turns = Turns(reactor, clock or Clock())
         self.bounds = bounds_of(min(config.sockets, descriptors()), config.memory_mb,
@@ -154,6 +155,11 @@
             from .policy import Governing, load_policy
 
             self.governing = Governing(self, load_policy(policy))
+        self.configuring: Configuring | None = None
+        if control is not None:
+            from .control_node import Configuring
+
+            self.configuring = Configuring(self, control)
         self.ports: list[Any] = []
         self.admin_port: Any = None
         shared = os.environ.get("TMPDIR") or "/tmp"
@@ -207,6 +213,8 @@
             more[b"/replication"] = b"GET", lambda body: (200, json.dumps(shared.gate.status()).encode())
         if self.governing is not None:
             more |= self.governing.routes()
+        if self.configuring is not None:
+            more |= self.configuring.routes()
         site = AdminSite(self.core, lambda: figures_of(self.core), self.core.counters, more)
         self.admin_port = self.reactor.listenTCP(
             self.config.admin.port, site, backlog=64, interface=self.config.admin.host)
@@ -225,6 +233,8 @@
             self.replicating.start()
         if self.governing is not None:
             self.governing.start()
+        if self.configuring is not None:
+            self.configuring.start()
         self.turns.after(SWEEP, self.sweep)
 
     def sweep(self) -> None:
@@ -247,7 +257,10 @@
         try:
             own = self.own if self.own_path is None else load_own(self.own_path)
             fresh = load_config(os.environ)
-            if self.governing is not None:  # the node's own file, and what the fleet has decided on top of it
+            layered = None if self.configuring is None else self.configuring.layered(fresh)
+            if layered is not None:
+                settings, live = layered.settings, layered.live
+            elif self.governing is not None:  # the node's own file, and what the fleet has decided on top of it
                 settings, live = self.governing.effective(fresh)
             else:
                 settings, live = merged(self.core.settings, fresh.settings)
@@ -258,6 +271,8 @@
             log.error("SIGHUP: %s; the old configuration is kept", error)
             return
         self.own = own  # the log's form and level wait for the next start
+        if self.configuring is not None and layered is not None:
+            self.configuring.take(layered)
         self.adopt(fresh, settings, live)
         if self.replicating is not None:
             self.replicating.reload()
@@ -268,12 +283,16 @@
         """Decide by ``settings`` from the next step on. Gives whether anything changed."""
         if (settings, live) == (self.core.settings, self.core.live):
             return False
+        self.switch(settings, live)
+        return True
+
+    def switch(self, settings: Settings, live: list[int], teams: dict[bytes, int] | None = None) -> None:
+        """Decide by ``settings`` from the next step on; ``teams``: the places of the tenants, where they are kept."""
         self.core.adopt(settings, live)
-        self.routers.names = Names.of(settings, live)
+        self.routers.names = Names.of(settings, live, teams)
         for front in self.core.fronts:
             if isinstance(front, RouterConnection):
                 front.names = self.routers.names
-        return True
 
     def adopt(self, fresh: Config, settings: Settings | None = None, live: list[int] | None = None) -> None:
         """Take ``settings`` (by default those of ``fresh``), and move each link to its new address, at once. Requests,
@@ -386,6 +405,8 @@
             self.admin_port = None
         if self.replicating is not None:
             self.replicating.stop()
+        if self.configuring is not None:
+            self.configuring.stop()
         self.presence.leave()
         for port in self.ports:
             if isinstance(port, RoomyPort):
@@ -431,12 +452,13 @@
 
 
 def run(config: Config, site: Site | None = None, replication: str | None = None, policy: str | None = None,
-        own: Own | None = None, own_path: str | None = None) -> int:
+        own: Own | None = None, own_path: str | None = None, control: str | None = None) -> int:
     from twisted.internet import reactor  # installs the reactor: only when the program really runs
 
     loop: Any = reactor
     try:
-        node = Node(config, loop, site, replication=replication, policy=policy, own=own, own_path=own_path)
+        node = Node(config, loop, site, replication=replication, policy=policy, own=own, own_path=own_path,
+                    control=control)
     except ConfigError as error:
         print(f"lemonway: {error}", file=sys.stderr)
         return 2
@@ -484,5 +506,7 @@
     for number in HELD:  # what still comes finds nobody to tell, and must not end the program otherwise than by itself
         signal.signal(number, signal.SIG_IGN)
     node.presence.leave()
+    if node.configuring is not None:
+        node.configuring.stop()
     node.print_counters()
     return 0
--- a/lemonway/net/program/start.py
+++ b/lemonway/net/program/start.py
@@ -25,6 +25,8 @@
                         help="share keyed requests with other image nodes as FILE says (deploy/replication.json)")
     parser.add_argument("--policy", metavar="FILE",
                         help="go by the fleet's policy as FILE says (deploy/policy.json); needs --replication")
+    parser.add_argument("--control", metavar="FILE",
+                        help="take the configuration from a control group as FILE says (deploy/control.json)")
     args = parser.parse_args(argv)
     try:
         own = load_own(args.settings) if args.settings else Own()
@@ -39,15 +41,18 @@
             site = load_site(args.uwsgi, config.settings)
         if args.policy and not args.replication:
             raise ConfigError("--policy: needs --replication: the list of nodes and the links between them are there")
-        if args.replication:
-            _needs_for_replication()
+        if args.policy and args.control:
+            raise ConfigError("--control: excludes --policy: either the nodes vote or a control group does")
+        for option in ("replication", "control"):
+            if getattr(args, option):
+                _needs_libraries(f"--{option}")
     except ConfigError as error:
         print(f"lemonway: {error}", file=sys.stderr)
         return 2
-    return run(config, site, args.replication, args.policy, own, args.settings)
+    return run(config, site, args.replication, args.policy, own, args.settings, args.control)
 
 
-def _needs_for_replication() -> None:
+def _needs_libraries(option: str) -> None:
     missing = [name for name in ("msgspec", "xxhash") if importlib.util.find_spec(name) is None]
     if missing:
-        raise ConfigError(f"--replication: needs {' and '.join(missing)}: install lemonway[replication]")
+        raise ConfigError(f"{option}: needs {' and '.join(missing)}: install lemonway[replication]")
--- a/lemonway/net/protocol/admin.py
+++ b/lemonway/net/protocol/admin.py
@@ -20,7 +20,7 @@
 BODY_MOST = 4096  # bytes of a call's body: drain and undrain need none
 BODY_MOST_MORE = 96 * 1024  # where other parts of the program take calls too: a change of policy is sent whole
 OPEN_MOST = 32  # connections at once; callers are the platform's checks and a few people
-GAUGES = ("in_flight", "policy_epoch")
+GAUGES = ("in_flight", "policy_epoch", "control_version", "control_age_s")
 PREFIX = "edge_edge"  # of every figure's name (DAYS, what the image node reports)
 
 
--- a/lemonway/net/protocol/peers.py
+++ b/lemonway/net/protocol/peers.py
@@ -71,17 +71,17 @@
         mesh = self.mesh
         if (hello.version, hello.size) != (VERSION, mesh.hello.size) or hello.name not in mesh.addresses or (
                 hello.epoch == mesh.hello.epoch and hello.peers != mesh.hello.peers):
-            mesh.counters["repl_strangers"] += 1
+            mesh.count("strangers")
             if hello.name not in mesh.strangers and len(mesh.strangers) < 64:
                 mesh.strangers.add(hello.name)
-                log.warning("replication: %s dials with another version, group size or list of peers than this "
-                            "node's: give all nodes the same replication file", hello.name[:64])
+                log.warning("%s: %s dials with another version, group size or list of peers than this "
+                            "node's: give all nodes the same file", mesh.label, hello.name[:64])
             self.close()
             return
         self.peer, self.life, self.epoch = hello.name, hello.life, hello.epoch
 
     def frame_rejected(self) -> None:
-        self.mesh.counters["repl_spoilt"] += 1
+        self.mesh.count("spoilt")
         self.close()
 
 
@@ -141,7 +141,7 @@
 
     def down(self) -> None:
         self.side = None
-        self.mesh.counters["repl_links_lost"] += 1
+        self.mesh.count("links_lost")
         self._again()
 
     def _again(self) -> None:
@@ -166,7 +166,9 @@
 
     def __init__(self, reactor: Any, turns: Turns, name: str, life: int, size: int,
                  addresses: dict[str, tuple[str, int]], queue_bytes: int, counters: Counter[str],
-                 epoch: int = 0) -> None:
+                 epoch: int = 0, label: str = "replication", prefix: str = "repl") -> None:
+        """``label``: the part of the program, in the log; ``prefix``: of the counters."""
+        self.label, self.prefix = label, prefix
         self.reactor, self.turns, self.counters, self.queue_bytes = reactor, turns, counters, queue_bytes
         self.addresses = addresses
         self.hello = Hello(VERSION, name, life, size, peers_hash(list(addresses)), epoch)
@@ -176,6 +178,10 @@
         self.strangers: set[str] = set()
         self.receive: Receive = lambda peer, life, message, epoch: None
 
+    def count(self, what: str) -> None:
+        """Count an event under this mesh's prefix."""
+        self.counters[f"{self.prefix}_{what}"] += 1
+
     def start(self) -> None:
         for link in self.links.values():
             link.dial()
@@ -211,7 +217,7 @@
 
     def buildProtocol(self, addr: Any) -> Accepted | None:
         if len(self.accepted) >= 2 * len(self.addresses) + 8:  # each peer once, and once while it dials anew
-            self.counters["repl_connections_over"] += 1
+            self.count("connections_over")
             return None
         return Accepted(self)
 
@@ -219,18 +225,18 @@
         link = self.links.get(peer)
         side = None if link is None else link.side
         if side is None or side.closing:
-            self.counters["repl_unsent"] += 1  # said again, or found by anti-entropy
+            self.count("unsent")  # said again, or found by anti-entropy
             return
         self.write(side, encode(message))
 
     def write(self, side: Dialled, data: bytes) -> None:
         if len(data) > MESSAGE_MOST:
-            self.counters["repl_too_large"] += 1
+            self.count("too_large")
             return
         framed = frame(data)
         if side.outbound.room < len(framed):
-            self.counters["repl_cut"] += 1
-            log.info("replication: %s takes nothing; its link is cut at %d bytes", side.link.name,
+            self.count("cut")
+            log.info("%s: %s takes nothing; its link is cut at %d bytes", self.label, side.link.name,
                      len(side.outbound))
             side.abort()
             return
--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -133,11 +133,11 @@
     keyed: frozenset[int]
 
     @classmethod
-    def of(cls, settings: Settings, live: list[int] | None = None) -> Names:
-        """``live``: the classes in force, if not all."""
+    def of(cls, settings: Settings, live: list[int] | None = None, teams: dict[bytes, int] | None = None) -> Names:
+        """``live``: the classes in force, if not all; ``teams``: the places of the tenants, where they are kept."""
         return cls(
             {settings.lanes[n].name.encode(): n for n in (range(len(settings.lanes)) if live is None else live)},
-            {team.name.encode(): n for n, team in enumerate(settings.tenants)},
+            {team.name.encode(): n for n, team in enumerate(settings.tenants)} if teams is None else teams,
             frozenset(n for n, lane in enumerate(settings.lanes) if lane.effect is Effect.KEYED),
         )
 
--- a/lemonway/net/routing/control_driver.py
+++ b/lemonway/net/routing/control_driver.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from ...control import messages
-from ...control.messages import FromPublisher, FromSubscriber, RelayOutput, VoterOutput
+from ...control.messages import AgentOutput, FromPublisher, FromSubscriber, RelayOutput, VoterOutput
 from ...control.versions import Version
 from ..transport.clock import Turns
 
@@ -17,7 +17,7 @@
 LEAST_WAIT = 1_000  # microseconds: a role that is due at once again still lets the loop turn
 NEVER = 1 << 62
 
-Output = RelayOutput | VoterOutput
+Output = AgentOutput | RelayOutput | VoterOutput
 
 
 class Upstream(Protocol):
@@ -50,7 +50,8 @@
     def keep_vote(self, memory: bytes) -> bool:
         """Gives whether the vote is on disk; only then may it be told to anybody."""
 
-    def keep_version(self, version: Version) -> None: ...
+    def keep_version(self, version: Version) -> bool:
+        """Gives whether votes that rest on this version may be told."""
 
     def keep_table(self, number: int, digest: bytes) -> None: ...
 
@@ -61,8 +62,8 @@
     def keep_vote(self, memory: bytes) -> bool:
         return True
 
-    def keep_version(self, version: Version) -> None:
-        """Nothing is kept."""
+    def keep_version(self, version: Version) -> bool:
+        return True
 
     def keep_table(self, number: int, digest: bytes) -> None:
         """Nothing is kept."""
@@ -100,7 +101,7 @@
         self.upstream, self.downstream, self.voters = upstream, downstream, voters
         self.store: Store = store or NoStore()
         self.alarm = Alarm(turns, lambda: int(role.due), self._tick)
-        self._kept = True  # whether the last vote is on disk
+        self._kept = True  # whether what was to be on disk in this batch is there
         self._carry_out: dict[type, Callable[[Any], None]] = {
             messages.Dial: self._dial, messages.HangUp: self._hang_up, messages.Say: self._say,
             messages.Send: self._send, messages.Drop: self._drop, messages.SendVoter: self._send_voter,
@@ -154,12 +155,17 @@
             self.voters.send(output.to, output.message)
 
     def _keep_vote(self, output: messages.KeepVote) -> None:
-        self._kept = self.store.keep_vote(output.memory)
-        if not self._kept:
-            self.role.not_kept()
+        if not self.store.keep_vote(output.memory):
+            self._forget()
 
     def _keep_version(self, output: messages.KeepVersion) -> None:
-        self.store.keep_version(output.version)
+        if not self.store.keep_version(output.version):
+            self._forget()
+
+    def _forget(self) -> None:
+        """The disk does not have what the role's messages rest on: none that follows is sent."""
+        self._kept = False
+        self.role.not_kept()
 
     def _keep_table(self, output: messages.KeepTable) -> None:
         self.store.keep_table(output.number, output.digest)
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -395,8 +395,14 @@
             self.policy.adopt(replace(settings, fresh_start=self.policy.s.fresh_start), live)
 
     def try_out(self, settings: Settings, live: list[int]) -> None:
-        """Have a decision module made with these settings; what is wrong with them raises. Nothing changes."""
-        Policy(self.settings, self.seed).adopt(settings, live)
+        """Have a decision module made with these settings; what is wrong with them raises. Nothing changes. Tenants are
+        left out: its tables of them cost their number, and none of them can be wrong for it."""
+        Policy(replace(self.settings, tenants=[]), self.seed).adopt(replace(settings, tenants=[]), live)
+
+    def tenants_changed(self) -> None:
+        """Tenants were changed or added in the list that ``settings`` holds: the decision module makes room."""
+        if self.policy is not None:
+            self.policy.adopt(self.policy.s, self.live)
 
     def hold(self) -> None:
         """An operator's drain: health checks and reports say no work is taken; what still comes is served."""
--- /dev/null
+++ b/tests/control_group.py
@@ -0,0 +1,199 @@
+"""A control group and its nodes as real processes on loopback, for tests: files, ports, starts, signals, questions."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import selectreactor
+
+from lemonway.kit.clients import RouterClient
+from lemonway.kit.pool import StandInPool
+from lemonway.kit.stage import site_settings
+
+ROOT = Path(__file__).parents[1]
+PATIENCE = 40.0  # seconds after which a condition that has not come fails its test
+SHORT = {"heartbeat_ms": 100, "silent_ms": 500, "connect_ms": 500, "backoff_ms": 20, "backoff_most_ms": 100,
+         "spread_ms": 50}
+MACHINE = {"lease_ms": 1500, "voter_heartbeat_ms": 50}
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [int(each.getsockname()[1]) for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def ask(port: int, path: str, body: bytes | None = None) -> Any:
+    """The JSON that an admin address answers; ``None`` where nobody answers."""
+    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data=body)
+    try:
+        with urllib.request.urlopen(request, timeout=5) as reply:
+            return json.load(reply)
+    except urllib.error.HTTPError as error:
+        return json.load(error)
+    except OSError:
+        return None
+
+
+class Process:
+    """One process, its files and its log."""
+
+    def __init__(self, folder: Path, name: str, argv: list[str], environ: dict[str, str] | None = None) -> None:
+        self.folder, self.name, self.argv = folder, name, argv
+        self.environ = os.environ | {"PYTHONPATH": str(ROOT)} | (environ or {})
+        self.running: subprocess.Popen[bytes] | None = None
+        self.admin = 0
+
+    def start(self) -> None:
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            self.running = subprocess.Popen([sys.executable, "-m", *self.argv], cwd=self.folder, stderr=log,
+                                            stdout=log, env=self.environ)
+
+    def log(self) -> str:
+        return (self.folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace")
+
+    def end(self, number: int = signal.SIGKILL) -> int:
+        """Send the signal and wait for the end; gives the exit status."""
+        assert self.running is not None
+        self.running.send_signal(number)
+        code = self.running.wait(PATIENCE)
+        self.running = None
+        return code
+
+    def signal(self, number: int) -> None:
+        assert self.running is not None
+        self.running.send_signal(number)
+
+    def status(self) -> Any:
+        return ask(self.admin, "/control")
+
+
+class Group:
+    """Voters v1.., relays r1.. and nodes n1.., started together."""
+
+    def __init__(self, voters: int, relays: int, nodes: int, node_file: dict[str, Any]) -> None:
+        self._temporary = tempfile.TemporaryDirectory()
+        self.folder = Path(self._temporary.name)
+        self.reactor: Any = selectreactor.SelectReactor()
+        self.pools: list[Any] = []
+        self.routers: list[RouterClient] = []
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}  # of each node's routers
+        self.watch_ports: dict[str, int] = {}  # of each machine's watches
+        ports = iter(free_ports(3 * voters + 2 * relays + 2 * nodes))
+        self.voters = {f"v{n}": {"vote": f"127.0.0.1:{next(ports)}", "watch": f"127.0.0.1:{next(ports)}"}
+                       for n in range(1, voters + 1)}
+        for name, at in self.voters.items():
+            self._machine(name, next(ports), {"role": "voter", "disk": str(self.folder / name), "first_start": True})
+            self.watch_ports[name] = int(at["watch"].rpartition(":")[2])
+        for n in range(1, relays + 1):
+            self.watch_ports[f"r{n}"] = next(ports)
+            self._machine(f"r{n}", next(ports), {"role": "relay", "listen": f"127.0.0.1:{self.watch_ports[f'r{n}']}"})
+        self.node_file = {"relays": {f"r{n}": f"127.0.0.1:{self.watch_ports[f'r{n}']}" for n in range(1, relays + 1)},
+                          **SHORT, **node_file}
+        for n in range(1, nodes + 1):
+            self._node(f"n{n}", next(ports), next(ports))
+        for process in self.processes.values():
+            process.start()
+
+    def write(self, name: str, content: Any) -> Path:
+        path = self.folder / name
+        path.write_text(json.dumps(content))
+        return path
+
+    def _machine(self, name: str, admin: int, file: dict[str, Any]) -> None:
+        path = self.write(f"{name}.json", {"name": name, "admin": f"127.0.0.1:{admin}", "voters": self.voters,
+                                           **SHORT, **MACHINE, **file})
+        self._add(name, admin, ["lemonway.kit.cli", "--verbose", "control", "run", "--file", str(path)], {})
+
+    def _node(self, name: str, port: int, admin: int) -> None:
+        pool = self.reactor.listenTCP(0, StandInPool(self.reactor, cores=6), interface="127.0.0.1")
+        self.pools.append(pool)
+        config = self.write(f"{name}.config.json", {
+            "name": name, "listen": f"127.0.0.1:{port}", "admin": f"127.0.0.1:{admin}", "stop_ms": 1000,
+            "pool": f"127.0.0.1:{pool.getHost().port}", "settings": site_settings()})
+        control = self.write(f"{name}.json", self.node_file | {"state": str(self.folder / f"{name}.state")})
+        self.ports[name] = port
+        self._add(name, admin, ["lemonway", "--control", str(control)], {"EDGE_CONFIG": str(config)})
+
+    def _add(self, name: str, admin: int, argv: list[str], environ: dict[str, str]) -> None:
+        process = self.processes[name] = Process(self.folder, name, argv, environ)
+        process.admin = admin
+
+    def __getitem__(self, name: str) -> Process:
+        return self.processes[name]
+
+    def spin(self, until: Callable[[], Any], what: str) -> Any:
+        """Turn the stand-ins until it is so; gives what ``until`` gave."""
+        end = time.monotonic() + PATIENCE
+        while time.monotonic() < end:
+            for _ in range(5):
+                self.reactor.iterate(0.005)
+            if found := until():
+                return found
+        logs = "\n".join(f"== {name}\n{each.log()[-1500:]}" for name, each in self.processes.items())
+        raise AssertionError(f"not within {PATIENCE:g} s: {what}\n{logs}")
+
+    def nodes(self) -> list[Process]:
+        return [each for name, each in self.processes.items() if name.startswith("n") and each.running is not None]
+
+    def all_nodes(self, like: Callable[[Any], bool], what: str) -> None:
+        """Wait until it is so of every running node's status."""
+        self.spin(lambda: all((status := node.status()) is not None and like(status) for node in self.nodes()), what)
+
+    def ready(self, name: str) -> bool:
+        """What ``GET /ready`` says."""
+        request = f"http://127.0.0.1:{self[name].admin}/ready"
+        try:
+            with urllib.request.urlopen(request, timeout=5):
+                return True
+        except OSError:  # an HTTPError is one
+            return False
+
+    def operator(self, *words: str) -> subprocess.CompletedProcess[str]:
+        """``lemonway control ...``"""
+        return subprocess.run([sys.executable, "-m", "lemonway.kit.cli", "control", *words], cwd=self.folder, text=True,
+                              capture_output=True, timeout=PATIENCE, env=os.environ | {"PYTHONPATH": str(ROOT)})
+
+    def propose(self, voter: str, change: dict[str, Any], *options: str) -> subprocess.CompletedProcess[str]:
+        path = self.write("change.json", change)
+        return self.operator("propose", str(path), "--machine", f"127.0.0.1:{self[voter].admin}", "--json", *options)
+
+    def word(self, node: str, team: str) -> str:
+        """How a node answers one request of a tenant."""
+        router = RouterClient(self.reactor, self.ports[node])
+        self.spin(lambda: router.side is not None, "a connection")
+        tag = router.call("busca", b"r", team=team)
+        self.spin(lambda: tag in router.answers, "an answer")
+        assert router.side is not None
+        router.side.transport.loseConnection()
+        return router.answers[tag][0]
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            if process.running is not None:
+                process.end()
+        for pool in self.pools:
+            pool.stopListening()
+        for _ in range(10):
+            self.reactor.iterate(0)
+        for call in self.reactor.getDelayedCalls():
+            call.cancel()
+        self._temporary.cleanup()
