--- a/lemonway/control/messages.py
+++ b/lemonway/control/messages.py
@@ -73,7 +73,7 @@
     digest: bytes
     content: bytes  # ``Table.content`` in 16 bytes, big-endian
     resources: int
-    bytes: int  # ``Table.bytes``
+    table_bytes: int  # ``Table.bytes``
 
 
 class SnapshotPiece(msgspec.Struct, frozen=True, array_like=True, tag="piece"):
--- a/lemonway/control/snapshot.py
+++ b/lemonway/control/snapshot.py
@@ -57,8 +57,8 @@
 
     def __init__(self, begin: SnapshotBegin, bytes_most: int) -> None:
         """Raises ``SnapshotError`` for a table that is too large."""
-        if begin.bytes > bytes_most:
-            raise SnapshotError(f"a table of {begin.bytes} bytes, {bytes_most} at most")
+        if begin.table_bytes > bytes_most:
+            raise SnapshotError(f"a table of {begin.table_bytes} bytes, {bytes_most} at most")
         self.begin, self.bytes_most = begin, bytes_most
         self.table = Table()
         self.pieces = 0
