--- a/lemonway/kit/cli/control.py
+++ b/lemonway/kit/cli/control.py
@@ -73,6 +73,7 @@
     """What a control machine has, who watches it, and how its nodes stand."""
     try:
         found = operators.ask(machine, "/control")
+        found["group"] = operators.group_report(found)
     except CallError as error:
         fail(error)
     if json_:
@@ -83,11 +84,12 @@
 
 def _show_status(found: dict[str, Any]) -> None:
     """Print what ``GET /control`` gave as lines to read."""
-    nodes = found["report"]
+    nodes = found["group"]
     click.echo(f"{found['name']} ({found['role']}): version {found['number']} {found['digest'][:16]}, "
                f"{found['resources']} resources, {found['watchers']} watches")
     click.echo(f"  nodes {nodes['nodes']}, {nodes['serving']} take work, lowest version {nodes['lowest']}, "
-               f"{nodes['behind']} behind, {nodes['unfit']} can't take it")
+               f"{nodes['behind']} behind, {nodes['unfit']} can't take it"
+               + "".join(f"; {name} does not answer" for name in nodes["silent_voters"]))
     for worst in nodes["worst"]:
         why = f": {worst['unfit']}" if worst["unfit"] else ""
         click.echo(f"  {worst['name']:16} version {worst['number']}{why}")
--- a/lemonway/kit/control.py
+++ b/lemonway/kit/control.py
@@ -26,6 +26,22 @@
     return True
 
 
+def group_report(status: dict[str, Any]) -> dict[str, Any]:
+    """How all nodes stand: the sum over the voters that answer, since a relay reports to the voter that it watches.
+    ``status``: what one control machine said; it names the voters."""
+    reports, silent = [], []
+    for name, admin in status["admins"].items():
+        try:
+            reports.append(ask(admin, "/control")["report"])
+        except CallError:
+            silent.append(name)
+    total: dict[str, Any] = {key: sum(each[key] for each in reports)
+                             for key in ("nodes", "serving", "behind", "unfit")}
+    total["lowest"] = min((each["lowest"] for each in reports if each["nodes"]), default=0)
+    total["worst"] = [worst for each in reports for worst in each["worst"]]
+    return total | {"silent_voters": silent}
+
+
 def propose(machine: str, body: bytes, wait: float, in_force: bool) -> dict[str, Any]:
     """Propose a change and wait for its outcome, ``wait`` seconds at most; with ``in_force`` also until every node that
     a relay knows has it. Gives ``proposal``, ``state``, ``number``, ``reason`` and ``in_force``. Raises
@@ -43,7 +59,7 @@
         return made["state"] in OVER
 
     def everywhere() -> bool:
-        report = ask(machine, "/control")["report"]
+        report = group_report(ask(machine, "/control"))
         return bool(report["nodes"]) and report["lowest"] >= made["number"]
 
     if _until(decided, end) and made["state"] == "committed" and in_force:
--- a/lemonway/net/program/control_file.py
+++ b/lemonway/net/program/control_file.py
@@ -73,6 +73,7 @@
 
     vote: Annotated[str, Meta(description="HOST:PORT for the other voters")]
     watch: Annotated[str, Meta(description="HOST:PORT for the watches of relays and of voters that are behind")]
+    admin: Annotated[str, Meta(description="HOST:PORT for operators and the platform's checks")]
 
 
 class ControlMachineFile(WatchFile, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -82,9 +83,8 @@
     name: Annotated[Name, Meta(description="of this machine; a voter's is its entry in voters")]
     voters: Annotated[dict[Name, VoterAddress], Meta(min_length=1, max_length=5, description=(
         "every voter by name; 1, 3 or 5, the same on all machines"))]
-    admin: Annotated[str, Meta(description="HOST:PORT for operators and the platform's checks")]
-    listen: Annotated[str, Meta(description=(
-        "HOST:PORT on which watches are taken; a voter's may be left to its entry in voters"))] = ""
+    listen: Annotated[str, Meta(description="a relay: HOST:PORT on which it takes watches")] = ""
+    admin: Annotated[str, Meta(description="a relay: HOST:PORT for operators and the platform's checks")] = ""
     disk: Annotated[str, Meta(description=(
         "a voter's folder on a disk that lasts: its vote, the table and the versions"))] = ""
     first_start: Annotated[bool, Meta(description=(
@@ -123,11 +123,17 @@
         """Where each voter listens for the others."""
         return {name: _address(f"voters.{name}.vote", each.vote) for name, each in self.voters.items()}
 
+    def admin_addresses(self) -> dict[str, Address]:
+        """Where each voter answers operators."""
+        return {name: _address(f"voters.{name}.admin", each.admin) for name, each in self.voters.items()}
+
     def listen_address(self) -> Address:
         """Where this machine takes watches."""
-        if not self.listen and self.role == "voter":
-            return self.watch_addresses()[self.name]
-        return _address("listen", self.listen)
+        return self.watch_addresses()[self.name] if self.role == "voter" else _address("listen", self.listen)
+
+    def admin_address(self) -> Address:
+        """Where this machine answers operators."""
+        return self.admin_addresses()[self.name] if self.role == "voter" else _address("admin", self.admin)
 
 
 class PutResource(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -227,8 +233,12 @@
         raise ConfigError(f"voters: this voter, {file.name}, is not among them")
     if file.role == "voter" and not file.disk:
         raise ConfigError("disk: missing: a voter needs a folder on a disk that lasts")
-    file.vote_addresses(), file.watch_addresses(), file.listen_address()
-    parse_address("admin", file.admin)
+    for key in ("listen", "admin"):
+        if file.role == "voter" and getattr(file, key):
+            raise ConfigError(f"{key}: a voter's is in its entry of voters")
+    for read in (file.vote_addresses, file.watch_addresses, file.admin_addresses, file.listen_address,
+                 file.admin_address):
+        read()
 
 
 def _named(option: str, path: str, error: Exception) -> ConfigError:
--- a/lemonway/net/program/control_machine.py
+++ b/lemonway/net/program/control_machine.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import os
 import random
@@ -15,7 +14,6 @@
 from collections.abc import Sequence
 from typing import Any
 
-import msgspec
 from twisted.internet.error import CannotListenError
 
 from ...control.proposals import Full
@@ -29,9 +27,10 @@
 from ..routing.control_driver import PublisherDriver, Store
 from ..routing.resources import why_invalid
 from ..transport.clock import Clock, Turns
-from .config import ConfigError, parse_address
+from .config import ConfigError
 from .control_file import ControlMachineFile, load_control_machine, read_change
 from .control_store import TableFile, VoterStore
+from .plain_json import plain, to_json
 from .policy import StateFile
 
 log = logging.getLogger(__name__)
@@ -43,12 +42,6 @@
 RELOADED = ("voters", "first_start", "schema")  # keys whose change does not wait for the next start
 
 
-def to_json(value: Any) -> bytes:
-    """A line of JSON, digests in hexadecimal."""
-    plain = msgspec.to_builtins(value, builtin_types=(bytes,), str_keys=True)
-    return json.dumps(plain, default=bytes.hex).encode() + b"\n"
-
-
 class ControlMachine:
     """What a voter and a relay have in common: the loop, the watches taken, the admin address, the signals."""
 
@@ -95,8 +88,9 @@
     def status(self) -> dict[str, Any]:
         """For operators."""
         self.turns.begin()
-        found: dict[str, Any] = msgspec.to_builtins(self.role.status(self.now), builtin_types=(bytes,))
-        return found | {"role": self.role_name, "watchers": len(self.watches.links)}
+        found: dict[str, Any] = plain(self.role.status(self.now))
+        return found | {"role": self.role_name, "watchers": len(self.watches.links),
+                        "admins": {name: each.admin for name, each in self.file.voters.items()}}
 
     def _history(self, body: bytes) -> tuple[int, bytes]:
         return 409, self._not_here()
@@ -121,9 +115,8 @@
         """Raises ``CannotListenError``."""
         host, port = self.file.listen_address()
         self._listen("watch", host, port, self.watches, backlog=1024)
-        at = parse_address("admin", self.file.admin)
-        site = AdminSite(self, self.figures, self.counters, self.routes())
-        self._listen("admin", at.host, at.port, site, backlog=64)
+        host, port = self.file.admin_address()
+        self._listen("admin", host, port, AdminSite(self, self.figures, self.counters, self.routes()), backlog=64)
 
     def _listen(self, what: str, host: str, port: int, factory: Any, backlog: int) -> None:
         bound = self.reactor.listenTCP(port, factory, backlog=backlog, interface=host)
@@ -270,7 +263,7 @@
     def status(self) -> dict[str, Any]:
         found = super().status()
         report = found.pop("nodes")  # over all relays, under the name that a relay's own has
-        return found | {"report": report, "proposals": dict(self.role.outcomes)}
+        return found | {"report": report, "proposals": plain(self.role.outcomes)}
 
     def _history(self, body: bytes) -> tuple[int, bytes]:
         return 200, to_json({"history": self.role.history()})
--- a/lemonway/net/program/control_node.py
+++ b/lemonway/net/program/control_node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import random
 from typing import TYPE_CHECKING, Any
@@ -16,6 +15,7 @@
 from .config import Config, ConfigError
 from .control_file import load_control, relay_addresses
 from .control_store import NodeStore, TableFile
+from .plain_json import to_json
 
 if TYPE_CHECKING:
     from .node import Node
@@ -110,10 +110,4 @@
     # the admin address
 
     def routes(self) -> dict[bytes, tuple[bytes, Any]]:
-        return {b"/control": (b"GET", lambda body: (200, json.dumps(self.configured.status(), default=_plain).encode()
-                                                    + b"\n"))}
-
-
-def _plain(value: Any) -> Any:
-    """What JSON has no word for."""
-    return value.hex() if isinstance(value, bytes) else str(value)
+        return {b"/control": (b"GET", lambda body: (200, to_json(self.configured.status())))}
--- a/lemonway/net/program/control_store.py
+++ b/lemonway/net/program/control_store.py
@@ -47,22 +47,22 @@
         except FileNotFoundError:
             return None
         stored = read(data)
-        self._appended = COMPACT_LEAST  # its end may be torn: the next version begins it anew
-        return stored
+        return stored  # its end may be torn: the next version begins it anew
 
     def keep_version(self, version: Version) -> bool:
         """Append a version that is in force; gives whether nothing was in the way."""
         self._fault = False
         record = encode_version(version)
-        if self._compaction is not None:
-            self._compaction.later.append(record)
-        elif self._file is None or self._appended + len(record) > max(COMPACT_LEAST, self.table().bytes):
-            self.keep_table(version.number, version.digest)
         if self._file is not None:
             try:
                 self._append(record)
             except OSError as error:
                 self._begin_anew(error)
+        if self._compaction is not None:
+            self._compaction.later.append(record)
+        elif self._file is None or self._appended > max(COMPACT_LEAST, self.table().bytes):
+            self._fault = False  # what could not be appended is in the table that is written now
+            self.keep_table(version.number, version.digest)
         return not self._fault
 
     def _begin_anew(self, error: OSError) -> None:
--- a/lemonway/net/protocol/control.py
+++ b/lemonway/net/protocol/control.py
@@ -73,6 +73,9 @@
 
     def ended(self) -> None:
         self.server.connections -= 1
+        self._tell_lost()
+
+    def _tell_lost(self) -> None:
         if self.server.links.pop(self.number, None) is not None:
             self.server.events.link_lost(self.number)
 
@@ -87,6 +90,7 @@
 
     def frame_rejected(self) -> None:
         self.server.counters["control_messages_rejected"] += 1
+        self._tell_lost()
         self.close()
 
 
