--- a/lemonway/control/store.py
+++ b/lemonway/control/store.py
@@ -24,7 +24,7 @@
 CHECKSUM_BYTES = 8
 HEADER_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
 RECORD_MOST = 16 << 20
-PIECE_BYTES = 256 << 10
+PIECE_BYTES = 32 << 10  # a piece is encoded without a pause: a few tenths of a millisecond
 CONTENT_BYTES = 16
 UNBOUNDED = 1 << 62  # a table that was taken is not refused by its size when it is read again
 
--- a/lemonway/net/program/control_node.py
+++ b/lemonway/net/program/control_node.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import random
 from typing import TYPE_CHECKING, Any
 
 from ...control.agent import Agent
+from ...control.resources import Table
 from ...control.store import Stored, StoreError
+from ...control.versions import Version
 from ...interface import Settings
 from ..protocol.control import WatchClient
 from ..routing.configured import Configured, TableInForce
@@ -40,8 +43,7 @@
         if self.file.state:
             self.state = TableFile(self.file.state, node.turns, lambda: self.agent.table, counters)
         self.agent = Agent(node.config.name, clock.to_unix_us(clock.now), list(self.file.relays),
-                           self.file.agent_terms(), clock.now, random.random, self.in_force.apply, counters,
-                           self._stored())
+                           self.file.agent_terms(), clock.now, random.random, self._apply, counters, self._stored())
         self.configured = Configured(node.core, self.agent, self.links, NodeStore(self.state) if self.state else None)
         self.links.events = self.configured.driver
 
@@ -60,6 +62,12 @@
                      len(stored.table))
         return stored
 
+    def _apply(self, version: Version | None, table: Table) -> str:
+        reason = self.in_force.apply(version, table)
+        if version is None:
+            gc.freeze()  # a whole table stays for long: collections would stop the loop for its size
+        return reason
+
     def _check(self, settings: Settings, live: list[int]) -> None:
         """Raises ``ValueError`` for settings that this node can't take. The decision module is made with them."""
         try:
--- a/lemonway/net/routing/resources.py
+++ b/lemonway/net/routing/resources.py
@@ -119,7 +119,10 @@
         key = name.removeprefix("familyInfo.")
         why = "is each machine's own; leave it to the node's file" if key in OWN else "is no setting of a fleet"
         raise InvalidResource(f"limit {name}: {why}")
-    value = msgspec.json.decode(operation.value)
+    try:
+        value = msgspec.json.decode(operation.value)
+    except msgspec.DecodeError as error:
+        raise InvalidResource(f"limit {name}: {error}") from None
     if not isinstance(value, bool | int | float | str):
         raise InvalidResource(f"limit {name}: wanted a number, a word, true or false")
     pairs = flatten({name: value})
