--- a/lemonway/net/program/config.py
+++ b/lemonway/net/program/config.py
@@ -46,6 +46,18 @@
     return Address(host, int(port))
 
 
+def read_json(source: str, path: str) -> Any:
+    """What the JSON file at ``path`` holds; ``source``: the option or variable that names it. Raises
+    ``ConfigError``."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return json.load(file)
+    except OSError as error:
+        raise ConfigError(f"{source}: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{source}: {path}: not JSON: {error}") from None
+
+
 def _number(key: str, value: Any, least: float) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < float("inf"):
         raise ConfigError(f"{key}: {value!r} is not a number of {least:g} or more")
@@ -125,13 +137,7 @@
     path = environ.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("EDGE_CONFIG: not set")
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-    except OSError as error:
-        raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"EDGE_CONFIG: {path}: not JSON: {error}") from None
+    raw = read_json("EDGE_CONFIG", path)
     try:
         return read_config(raw, environ)
     except ConfigError as error:  # the key, and the file it is in
--- a/lemonway/net/program/control_file.py
+++ b/lemonway/net/program/control_file.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -14,7 +13,7 @@
 
 from ...control.resources import Delete, Operation, Put, ResourceError, check
 from ...control.terms import SECOND, AgentTerms, PublishTerms, VoterTerms, WatchTerms
-from .config import ConfigError, parse_address
+from .config import ConfigError, parse_address, read_json
 
 MEGABYTE = 1 << 20
 VOTER_NUMBERS = (1, 3, 5)
@@ -191,23 +190,14 @@
     return found
 
 
-def _read_json(option: str, path: str) -> Any:
-    try:
-        with open(path, encoding="utf-8") as file:
-            return json.load(file)
-    except OSError as error:
-        raise ConfigError(f"{option}: {path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{option}: {path}: not JSON: {error}") from None
-
-
 def load_control(path: str, option: str = "--control") -> ControlFile:
     """A node's file. Raises ``ConfigError`` that names the file and the key."""
+    raw = read_json(option, path)
     try:
-        file = msgspec.convert(_read_json(option, path), ControlFile)
+        file = msgspec.convert(raw, ControlFile)
         relay_addresses(file)
     except (msgspec.ValidationError, ConfigError) as error:
-        raise _named(option, path, error) from None
+        raise ConfigError(f"{option}: {path}: {error}") from None
     return file
 
 
@@ -218,11 +208,12 @@
 
 def load_control_machine(path: str, option: str = "--file") -> ControlMachineFile:
     """A control machine's file. Raises ``ConfigError`` that names the file and the key."""
+    raw = read_json(option, path)
     try:
-        file = msgspec.convert(_read_json(option, path), ControlMachineFile)
+        file = msgspec.convert(raw, ControlMachineFile)
         _check_machine(file)
     except (msgspec.ValidationError, ConfigError) as error:
-        raise _named(option, path, error) from None
+        raise ConfigError(f"{option}: {path}: {error}") from None
     return file
 
 
@@ -241,12 +232,6 @@
         read()
 
 
-def _named(option: str, path: str, error: Exception) -> ConfigError:
-    text = str(error)
-    return error if isinstance(error, ConfigError) and text.startswith(option) else ConfigError(
-        f"{option}: {path}: {text}")
-
-
 def read_change(body: bytes) -> list[Operation]:
     """The operations of a change file. Raises ``ValueError`` that names the key."""
     try:
--- a/lemonway/net/program/control_machine.py
+++ b/lemonway/net/program/control_machine.py
@@ -27,6 +27,7 @@
 from ..routing.control_driver import PublisherDriver, Store
 from ..routing.resources import why_invalid
 from ..transport.clock import Clock, Turns
+from .bounds import descriptors
 from .config import ConfigError
 from .control_file import ControlMachineFile, load_control_machine, read_change
 from .control_store import TableFile, VoterStore
@@ -36,6 +37,8 @@
 log = logging.getLogger(__name__)
 
 MESH_QUEUE = 4 << 20  # bytes that may wait for one voter
+SPARE_LINKS = 64  # connections past subscribers_most: they are told that the machine is full
+SPARE_DESCRIPTORS = 256  # for those, the admin address, the disk and the other machines
 END_WAIT = 0.2  # seconds between the orderly closes and the end of the loop
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 VOTE_FILE, TABLE_FILE = "vote", "table"
@@ -53,7 +56,7 @@
         self.file, self.path, self.reactor = file, path, reactor
         self.turns = Turns(reactor, Clock())
         self.counters: Counter[str] = Counter()
-        self.watches = WatchServer(self.turns, self.counters, links_most=file.subscribers_most + 64)
+        self.watches = WatchServer(self.turns, self.counters, links_most=file.subscribers_most + SPARE_LINKS)
         self.upstream = WatchClient(reactor, self.turns, file.watch_addresses(), self.counters)
         self.life = self.turns.clock.to_unix_us(self.turns.clock.now)
         self.ports: list[Any] = []
@@ -127,6 +130,13 @@
         """Called in the loop."""
         raise NotImplementedError
 
+    def warn_of_bounds(self) -> None:
+        """Say so where the system gives fewer descriptors than the file's watches take."""
+        wanted = self.file.subscribers_most + SPARE_DESCRIPTORS
+        if descriptors() < wanted:
+            log.warning("%s: subscribers_most: %d watches take %d descriptors, and this process may hold %d",
+                        self.file.name, self.file.subscribers_most, wanted, descriptors())
+
     def reload(self) -> None:
         """SIGHUP: where the other machines are is taken at once; the rest waits for the next start."""
         try:
@@ -300,6 +310,7 @@
     try:
         file = load_control_machine(path)
         machine = (VoterMachine if file.role == "voter" else RelayMachine)(file, path, loop)
+        machine.warn_of_bounds()
         machine.listen()
     except ConfigError as error:
         print(f"lemonway: {error}", file=sys.stderr)
--- a/lemonway/net/program/control_store.py
+++ b/lemonway/net/program/control_store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import os
 import time
@@ -120,7 +121,7 @@
         self.target = target
         self.later: list[bytes] = []  # records of versions after this table
         self._records: Iterator[bytes] = encode_table(number, digest, target.table().copy())
-        self._fresh = f"{target.path}.new"
+        self._fresh = f"{target.path}.{os.getpid()}.new"  # two processes of one node may be there in an upgrade
         self._file: BinaryIO | None = None
         self._over = False
 
@@ -137,13 +138,20 @@
                 self.target.turns.after(PAUSE, self.run)
         except OSError as error:
             self._over = True
+            self._remove()
             self.target.compaction_failed(error)
 
     def abandon(self) -> None:
         """Another table is to be written instead."""
         self._over = True
+        self._remove()
+
+    def _remove(self) -> None:
         if self._file is not None:
-            self._file.close()
+            with contextlib.suppress(OSError):
+                self._file.close()
+            with contextlib.suppress(OSError):
+                os.unlink(self._fresh)
 
     def _write(self, whole: bool) -> bool:
         """Gives whether all is written."""
--- a/lemonway/net/program/own.py
+++ b/lemonway/net/program/own.py
@@ -4,14 +4,13 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from dataclasses import dataclass, field
 from typing import Any
 
 from ...interface import Settings
 from ...limits.ramp import ColdTier
-from .config import ConfigError
+from .config import ConfigError, read_json
 from .logs import FORMS
 
 MOST = 1e9
@@ -42,13 +41,7 @@
 
 
 def load_own(path: str) -> Own:
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-    except OSError as error:
-        raise ConfigError(f"--settings: {path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"--settings: {path}: not JSON: {error}") from None
+    raw = read_json("--settings", path)
     top = _table(path, "", raw, {"$schema", "log", "next_tier"})
     log = _table(path, "log", top.get("log", {}), {"form", "level"})
     form, level = log.get("form", "logfmt"), log.get("level", "info")
--- a/lemonway/net/program/policy.py
+++ b/lemonway/net/program/policy.py
@@ -22,7 +22,7 @@
 from ...interface import Settings
 from ...settings import merged
 from ..routing.governed import Governed
-from .config import Config, ConfigError, read_lanes
+from .config import Config, ConfigError, read_json, read_lanes
 from .replication import lists_of
 
 if TYPE_CHECKING:
@@ -81,13 +81,7 @@
 
 def load_policy(path: str) -> PolicyFile:
     """Raises ``ConfigError`` that names the file and the key."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-    except OSError as error:
-        raise ConfigError(f"--policy: {path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"--policy: {path}: not JSON: {error}") from None
+    raw = read_json("--policy", path)
     try:
         return msgspec.convert(raw, PolicyFile)
     except msgspec.ValidationError as error:
--- a/lemonway/net/program/replication.py
+++ b/lemonway/net/program/replication.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -17,7 +16,7 @@
 from ...replication.replica import Replica, Terms
 from ..protocol.peers import Mesh
 from ..routing.replicated import ReplicatedKeys
-from .config import Address, ConfigError, parse_address
+from .config import Address, ConfigError, parse_address, read_json
 
 if TYPE_CHECKING:
     from .node import Node
@@ -71,13 +70,7 @@
 
 def load_replication(path: str) -> Replication:
     """Raises ``ConfigError`` that names the file and the key."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-    except OSError as error:
-        raise ConfigError(f"--replication: {path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"--replication: {path}: not JSON: {error}") from None
+    raw = read_json("--replication", path)
     try:
         found = msgspec.convert(raw, Replication)
     except msgspec.ValidationError as error:
