Show that a node which starts from nothing gets the whole table

Change: machines of the tests hold three versions in their logs; a node without its state file comes back.

--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -26,7 +26,7 @@
 PATIENCE = 40.0  # seconds after which a condition that has not come fails its test
 SHORT = {"heartbeat_ms": 100, "silent_ms": 500, "connect_ms": 500, "backoff_ms": 20, "backoff_most_ms": 100,
          "spread_ms": 50}
-MACHINE = {"lease_ms": 1500, "voter_heartbeat_ms": 50}
+MACHINE = {"lease_ms": 1500, "voter_heartbeat_ms": 50, "log_versions_most": 3}  # who is further behind: a snapshot
 
 
 def free_ports(count: int) -> list[int]:
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -299,7 +299,21 @@
         done = self.group.propose("v1", change)
         return int(json.loads(done.stdout)["number"]) if done.returncode == 0 else 0
 
-    def test_7_files_at_sighup_and_orderly_ends(self) -> None:
+    def test_7_a_node_that_starts_from_nothing_gets_the_whole_table(self) -> None:
+        group = self.group
+        for n in range(5):  # more than the machines' logs hold
+            number = self.proposed("v1", {"put": [tenant(f"tail-{n}")]})
+        group["n3"].end()
+        (group.folder / "n3.state").unlink()
+        group["n3"].start()
+        group.all_nodes(lambda status: status["number"] == number, "the node has the table")
+        self.assertEqual({status["content"] for status in (group["n3"].status(), group["v1"].status())},
+                         {group["n2"].status()["content"]})
+        self.assertIn("a whole table is in force here", group["n3"].log())
+        group.spin(lambda: group.ready("n3"), "the node takes work")
+        self.assertEqual(group.word("n3", "tail-0"), "RESULT")
+
+    def test_8_files_at_sighup_and_orderly_ends(self) -> None:
         group = self.group
         good = (group.folder / "n2.json").read_text()
         group.write("n2.json", {"relays": {}})
