--- a/lemonway/net/protocol/peers.py
+++ b/lemonway/net/protocol/peers.py
@@ -9,8 +9,6 @@
 
 import logging
 import random
-import socket
-import struct
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -24,14 +22,12 @@
 from ...replication.messages import VERSION, Hello, Message, encode
 from ..transport.clock import Turns
 from ..transport.connection import Connection
+from .framing import FramedConnection, frame, watch_liveness
 
 log = logging.getLogger(__name__)
 
-HEAD = 4  # bytes of a message's length
 MESSAGE_MOST = 256 * 1024  # bytes of one message
-READ_MOST = 16 * 1024  # what one read may add beyond a message that is not whole yet
 REDIAL, REDIAL_MOST = 0.05, 1.0  # seconds from a lost link to the next dial, doubling
-UNACKED_MS = 5000  # the system gives up a link on which nothing is acknowledged for so long
 
 Receive = Callable[[str, int, Any, int], None]
 
@@ -43,63 +39,49 @@
     return xxh3_64_intdigest("\x00".join(sorted(names)).encode())
 
 
-class Accepted(Connection):
+class Accepted(FramedConnection):
     """A peer speaks; this end only listens."""
 
     def __init__(self, mesh: Mesh) -> None:
-        super().__init__(mesh.turns, MESSAGE_MOST + HEAD + READ_MOST, 1024)
+        super().__init__(mesh.turns, MESSAGE_MOST, 1024)
         self.mesh = mesh
         self.peer, self.life, self.epoch = "", 0, 0
-        self._in_head = True
 
     def opened(self) -> None:
         self.mesh.accepted[self] = None
-        self.expect(HEAD)
+        super().opened()
 
     def ended(self) -> None:
         self.mesh.accepted.pop(self, None)
 
-    def lineReceived(self, line: bytes) -> None:  # there are no lines on these links
-        self.refuse_more()
-
-    def blockReceived(self, block: bytes) -> None:
-        if self._in_head:
-            size = struct.unpack(">I", block)[0]
-            if not 0 < size <= MESSAGE_MOST:
-                self._spoilt()
-                return
-            self._in_head = False
-            self.expect(size)
-            return
-        self._in_head = True
-        self.expect(HEAD)
+    def message_received(self, block: bytes) -> None:
         try:
             message = decode(block)
         except msgspec.DecodeError:
-            self._spoilt()
+            self.frame_rejected()
             return
         if isinstance(message, Hello):
             self._hello(message)
         elif self.peer:
             self.mesh.receive(self.peer, self.life, message, self.epoch)
         else:
-            self._spoilt()
+            self.frame_rejected()
 
     def _hello(self, hello: Hello) -> None:
         mesh = self.mesh
         if (hello.version, hello.size) != (VERSION, mesh.hello.size) or hello.name not in mesh.addresses or (
                 hello.epoch == mesh.hello.epoch and hello.peers != mesh.hello.peers):
-            mesh.counters["repl_strangers"] += 1
+            mesh.count("strangers")
             if hello.name not in mesh.strangers and len(mesh.strangers) < 64:
                 mesh.strangers.add(hello.name)
-                log.warning("replication: %s dials with another version, group size or list of peers than this "
-                            "node's: give all nodes the same replication file", hello.name[:64])
+                log.warning("%s: %s dials with another version, group size or list of peers than this "
+                            "node's: give all nodes the same file", mesh.label, hello.name[:64])
             self.close()
             return
         self.peer, self.life, self.epoch = hello.name, hello.life, hello.epoch
 
-    def _spoilt(self) -> None:
-        self.mesh.counters["repl_spoilt"] += 1
+    def frame_rejected(self) -> None:
+        self.mesh.count("spoilt")
         self.close()
 
 
@@ -111,10 +93,7 @@
         self.link = link
 
     def opened(self) -> None:
-        transport: Any = self.transport
-        transport.setTcpKeepAlive(1)
-        if hasattr(socket, "TCP_USER_TIMEOUT"):
-            transport.getHandle().setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+        watch_liveness(self.transport)
         self.link.up(self)
 
     def dataReceived(self, data: bytes) -> None:
@@ -162,7 +141,7 @@
 
     def down(self) -> None:
         self.side = None
-        self.mesh.counters["repl_links_lost"] += 1
+        self.mesh.count("links_lost")
         self._again()
 
     def _again(self) -> None:
@@ -187,7 +166,9 @@
 
     def __init__(self, reactor: Any, turns: Turns, name: str, life: int, size: int,
                  addresses: dict[str, tuple[str, int]], queue_bytes: int, counters: Counter[str],
-                 epoch: int = 0) -> None:
+                 epoch: int = 0, label: str = "replication", prefix: str = "repl") -> None:
+        """``label``: the part of the program, in the log; ``prefix``: of the counters."""
+        self.label, self.prefix = label, prefix
         self.reactor, self.turns, self.counters, self.queue_bytes = reactor, turns, counters, queue_bytes
         self.addresses = addresses
         self.hello = Hello(VERSION, name, life, size, peers_hash(list(addresses)), epoch)
@@ -197,6 +178,10 @@
         self.strangers: set[str] = set()
         self.receive: Receive = lambda peer, life, message, epoch: None
 
+    def count(self, what: str) -> None:
+        """Count an event under this mesh's prefix."""
+        self.counters[f"{self.prefix}_{what}"] += 1
+
     def start(self) -> None:
         for link in self.links.values():
             link.dial()
@@ -232,7 +217,7 @@
 
     def buildProtocol(self, addr: Any) -> Accepted | None:
         if len(self.accepted) >= 2 * len(self.addresses) + 8:  # each peer once, and once while it dials anew
-            self.counters["repl_connections_over"] += 1
+            self.count("connections_over")
             return None
         return Accepted(self)
 
@@ -240,18 +225,19 @@
         link = self.links.get(peer)
         side = None if link is None else link.side
         if side is None or side.closing:
-            self.counters["repl_unsent"] += 1  # said again, or found by anti-entropy
+            self.count("unsent")  # said again, or found by anti-entropy
             return
         self.write(side, encode(message))
 
     def write(self, side: Dialled, data: bytes) -> None:
         if len(data) > MESSAGE_MOST:
-            self.counters["repl_too_large"] += 1
+            self.count("too_large")
             return
-        if side.outbound.room < len(data) + HEAD:
-            self.counters["repl_cut"] += 1
-            log.info("replication: %s takes nothing; its link is cut at %d bytes", side.link.name,
+        framed = frame(data)
+        if side.outbound.room < len(framed):
+            self.count("cut")
+            log.info("%s: %s takes nothing; its link is cut at %d bytes", self.label, side.link.name,
                      len(side.outbound))
             side.abort()
             return
-        side.send(struct.pack(">I", len(data)) + data)
+        side.send(framed)
