Add probes that measure what each cost comes to by size

Why: a design for 5,000 nodes needs to know which part breaks first, and no figure on today's text was measured by size.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of the README. Each does all the set-up it needs; `make build` is the deploy build.
 PYTHON = .venv/bin/python
 
-.PHONY: build dev demo check test lint guard bench run rehearse theory
+.PHONY: build dev demo check test lint guard bench slopes run rehearse theory
 
 build:
 	cmp -s requirements.txt .venv/built || (rm -rf .venv && python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built)
@@ -30,6 +30,10 @@
 bench: dev
 	$(PYTHON) -m benchmarks
 
+# What each cost comes to by size, for docs/CAPACITY.md: about four minutes, best on a machine with nothing else to do.
+slopes: dev
+	$(PYTHON) -m benchmarks.slopes
+
 # A node with the example's configuration; start example/toy.py beside it first.
 run: build
 	EDGE_CONFIG=example/config.json $(PYTHON) -m lemonway --uwsgi example/uwsgi.toml
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -58,7 +58,7 @@
             "name": f"n{self.number}", "listen": self.listen, "seed": f"{seed:x}", "stop_ms": 2000,
             "pool": f"127.0.0.1:{self.pool_port.getHost().port}", "announce": "127.0.0.1:9",
             "catalog": f"127.0.0.1:{self.pack.tier_port.getHost().port}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": self.pack.settings}))
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.pack.sockets}, "settings": self.pack.settings}))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lemonway", *arguments], cwd=self.pack.code, stderr=subprocess.DEVNULL,
             env=os.environ | {"EDGE_CONFIG": str(self.config), "EDGE_NAME": "", "EDGE_LISTEN": ""})
@@ -82,12 +82,14 @@
 
 
 class Pack:
-    """``code``: the checkout whose program runs, by default this one."""
+    """``code``: the checkout whose program runs, by default this one. ``sockets``: descriptors that a node may hold."""
 
-    def __init__(self, count: int, server: ColdServer | None = None, calls: int = 0, code: str | None = None) -> None:
+    def __init__(self, count: int, server: ColdServer | None = None, calls: int = 0, code: str | None = None,
+                 sockets: int = 512) -> None:
         from twisted.internet import reactor
 
         self.reactor: Any = reactor
+        self.sockets = sockets
         self.code, self.calls = code or os.getcwd(), calls
         self.folder = tempfile.mkdtemp(prefix="lemonway-pack-")
         self.settings = site_settings()
