--- a/benchmarks/slopes/epochs.py
+++ b/benchmarks/slopes/epochs.py
@@ -12,7 +12,8 @@
 from lemonway.epochs.messages import Accept, Accepted, Check, Fit, Message, Nack, Prepare, Promise, Pulse, Send
 from lemonway.epochs.register import Register
 from lemonway.net.program.replication import lists_of
-from lemonway.net.protocol.peers import HEAD, decode
+from lemonway.net.protocol.framing import HEAD
+from lemonway.net.protocol.peers import decode
 from lemonway.net.routing.governed import TICK
 from lemonway.replication.messages import encode
 from lemonway.replication.placement import Membership
--- a/benchmarks/slopes/replication.py
+++ b/benchmarks/slopes/replication.py
@@ -10,11 +10,12 @@
 from typing import Any
 
 from lemonway.net.program.replication import Replication
-from lemonway.net.protocol.peers import HEAD, Mesh, peers_hash
+from lemonway.net.protocol.framing import HEAD
+from lemonway.net.protocol.peers import Mesh, peers_hash
 from lemonway.net.transport.clock import Clock, Turns
-from lemonway.replication.claims import SPANS
 from lemonway.replication.messages import VERSION, Beat, Digests, Hello, Send, encode
 from lemonway.replication.placement import Placement
+from lemonway.replication.registers import SPANS
 from lemonway.replication.replica import Replica, Terms
 
 from .epochs import LIFE, SECOND, SEGMENT_HEADERS, node_names
