Read no age from the wait told with a call, so that a free later tier takes it

The second tier reads 12,497 calls for lance and runs 2,115; 10,339 are refused with free cores (median 4 of 6 free, CPU 60%), as their aim seems to have passed 7 s (median) before they came. foto: 3,111 of 5,122, by a median of 31 s, where its whole deadline is 45 s.

Cause: Policy.first_try_age takes a wait that few arrivals have for the age of the request (deadline less wait). A client's wait is one of a few shares of the deadline; a call's is set by Policy.patience of the tier above, so it is nearly always "unusual".

Change: past the first tier a wait tells by when the answer is due, as before, but not the age.

--- a/lemonway/brain.py
+++ b/lemonway/brain.py
@@ -165,14 +165,14 @@
 
     def first_try_age(self, e: Arrival) -> float:
         """How long ago the first try was. Callers give first tries one of a few shares of the deadline, later
-        ones what is left of it: a wait that is not usual among all arrivals here tells the age."""
+        ones what is left of it: a wait that is not usual among all arrivals here tells the age. The wait of a
+        call is set by the tier above, by how long its calls take, and tells nothing of the age."""
         if e.remaining is None:
             return e.age
         deadline = self.s.lanes[e.lane].deadline
-        share = (e.remaining + e.age) / deadline
-        cell = min(int(share / AGED), len(self.usual) - 2)
+        cell = min(int((e.remaining + e.age) / deadline / AGED), len(self.usual) - 2)
         self.usual.add(cell)
-        alike = self.usual.share(cell - 1, cell + 1) >= USUAL
+        alike = self.s.tier > 0 or self.usual.share(cell - 1, cell + 1) >= USUAL
         self.tried += LEARN * ((e.retry or not alike) - self.tried)
         return e.age if alike else max(e.age, deadline - e.remaining)
 
--- a/tests/test_lost_calls.py
+++ b/tests/test_lost_calls.py
@@ -97,6 +97,36 @@
                 later = policy.step(600.0, [api.Woken(1)])
                 self.assertEqual(any(isinstance(a, api.Refuse) and a.id == 2 for a in later), refused)
 
+    def test_the_wait_told_with_a_call_is_not_taken_for_its_age(self) -> None:
+        """Guards a free server of a later tier: the tier above waits as long as its calls take, each for another time,
+        and a wait that no other call has made a call look as old as its class's deadline less that wait."""
+        waits = [300.0 + 400.0 * n for n in range(10)]
+        for tier, refused in [(0, {300.0, 700.0, 1100.0, 1500.0, 1900.0, 2300.0, 2700.0}), (1, set())]:
+            with self.subTest(tier=tier):
+                settings = read_settings({
+                    "tier": str(tier), "lanes.count": "1", "lanes.0.aim": "1000", "lanes.0.deadline": "4000",
+                    "familyInfo.cores": "4", "rules.fallMultiple": "6"})
+                policy = Policy(settings, 1)
+                turned_away = set()
+                for n in range(1, 41):
+                    wait = waits[n % len(waits)]
+                    actions = policy.step(100.0 * n, [api.Arrival(n, remaining=wait)])
+                    if api.Admit(n) in actions:
+                        policy.step(100.0 * n + 50.0, [api.Finished(n, 50.0, Outcome.OK)])
+                    elif n > 2 * len(waits):
+                        turned_away.add(wait)
+                self.assertEqual(turned_away, refused)
+
+    def test_a_call_that_is_waited_for_no_longer_than_a_run_takes_is_refused(self) -> None:
+        """The wait that a call tells is still the time by which its answer is due."""
+        settings = read_settings({
+            "tier": "1", "lanes.count": "1", "lanes.0.aim": "1000", "lanes.0.deadline": "4000",
+            "familyInfo.cores": "1", "rules.fallMultiple": "1"})
+        policy = Policy(settings, 1)
+        self.assertIn(api.Admit(1), policy.step(0.0, [api.Arrival(1, remaining=3000.0)]))
+        actions = policy.step(1.0, [api.Arrival(2, remaining=150.0)])
+        self.assertTrue(any(isinstance(a, api.Refuse) and a.id == 2 for a in actions), actions)
+
 
 if __name__ == "__main__":
     unittest.main()
