--- a/benchmarks/slopes/epochs.py
+++ b/benchmarks/slopes/epochs.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from lemonway.epochs.member import PULSES_A_SECOND, Epochs, Terms
-from lemonway.epochs.messages import Accept, Accepted, Check, Fit, Message, Nack, Prepare, Promise, Pulse, Send
+from lemonway.epochs.messages import Accept, Accepted, Check, Fit, Message, Nack, Prepare, Promise, Pulse, Rejoin, Send
 from lemonway.epochs.register import Register
 from lemonway.net.program.replication import lists_of
 from lemonway.net.protocol.peers import HEAD, decode
@@ -146,6 +146,14 @@
     return cost
 
 
+def rejoin_bytes(fleet: Fleet) -> int:
+    """What all others answer to a node that has started anew and asks what it may have voted for, once each. It asks
+    again every ``retry_us`` those that have not answered."""
+    said = fleet.member.receive(fleet.names[1], LIFE + 2, Rejoin(fleet.now), fleet.now)
+    state = next(out.message for out in said if isinstance(out, Send))
+    return (len(encode(state)) + HEAD) * (fleet.size - 1)
+
+
 def framed_kb_a_second(fleet: Fleet) -> float:
     """Signs of life sent and heard, each in a segment of its own; acknowledgements are not counted."""
     return 2 * fleet.messages_a_second * (len(encode(fleet.pulse())) + HEAD + SEGMENT_HEADERS) / 1000
@@ -165,6 +173,7 @@
     votes: dict[int, float] = {}
     voting: dict[int, float] = {}
     sent: dict[int, float] = {}
+    rejoin: dict[int, float] = {}
     for size in sizes:
         fleet, taken = retained_bytes(lambda size=size: Fleet(size))  # type: ignore[misc]
         look[size] = processor_us(fleet.look, times=20)
@@ -179,6 +188,7 @@
         rounds = SECOND / fleet.member.pulse_us
         busy = look[size] * SECOND / TICK + heard * PULSES_A_SECOND + burst[size] * 1000 * rounds
         share[size] = busy / SECOND * 100
+        rejoin[size] = rejoin_bytes(fleet) / 1e6
         change = play_change(size)
         votes[size] = change.vote_bytes / 1e6
         sent[size] = change.bytes_out / 1e6
@@ -201,6 +211,7 @@
         series("memory of the peers' table", "MB", unit, memory, NODES, Budget(CONTROL_MEMORY_MB, "control of a node")),
         series("votes of one change at its proposer", "MB", unit, votes, NODES, exact=True),
         series("sent by the proposer of one small change", "MB", unit, sent, NODES, exact=True),
+        series("answers to a node that starts anew", "MB", unit, rejoin, NODES, exact=True),
         series("processor time of the votes at the proposer", "s", unit, voting, NODES,
                Budget(IN_FORCE_SECONDS, "in force everywhere")),
     ]
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -18,7 +18,7 @@
 
 from benchmarks.slopes import added_time, cold_ramp, connections, decisions, listing, replication, routes, settings
 from benchmarks.slopes.__main__ import main, play
-from benchmarks.slopes.epochs import SECOND, Fleet, play_change
+from benchmarks.slopes.epochs import SECOND, Fleet, play_change, rejoin_bytes
 from benchmarks.slopes.fit import Fit, Point, fit
 from benchmarks.slopes.model import Budget, Probe, VoidRun, series, slope_of
 from benchmarks.slopes.open_loop import schedule
@@ -89,6 +89,10 @@
         # Two votes of each node, and in each 10 bytes and the name for each node's life.
         self.assertAlmostEqual(found.per_square, 2 * (10 + 15), delta=0.5)
 
+    def test_a_start_is_answered_with_the_square_of_the_nodes(self) -> None:
+        found = fit([Point(size, rejoin_bytes(Fleet(size))) for size in (20, 40, 80, 160)])
+        self.assertAlmostEqual(found.per_square, 10 + 15, delta=0.5)
+
     def test_a_change_is_sent_whole_to_every_node_three_times(self) -> None:
         small, large = play_change(20, b"{}"), play_change(20, b"{}" + b" " * 10_000)
         self.assertAlmostEqual(large.bytes_out - small.bytes_out, 3 * 19 * 10_000, delta=3 * 19 * 8)
