--- a/lemonway/kit/live/acervo.py
+++ b/lemonway/kit/live/acervo.py
@@ -43,6 +43,7 @@
         return self.requests.get(number_of(body))
 
     def awaited(self, txn: str, body: bytes) -> bool:
+        """The pools are in other processes: a call that no run waits for is taken here as any other."""
         return True
 
     def called(self, side: Any, txn: str, body: bytes) -> None:
