--- a/lemonway/control/messages.py
+++ b/lemonway/control/messages.py
@@ -148,7 +148,8 @@
 
 
 class KeepVote(msgspec.Struct, frozen=True):
-    """Output of a voter: has to be on disk before anything that follows is sent."""
+    """Output of a voter: has to be on disk before any ``SendVoter`` that follows is carried out. Where it can't be
+    kept, ``Voter.not_kept`` is called, and no ``SendVoter`` of the same outputs is carried out."""
 
     memory: bytes
 
@@ -161,7 +162,8 @@
 
 
 class KeepTable(msgspec.Struct, frozen=True):
-    """Output: the whole table was replaced by a snapshot; a driver with a disk begins its store anew from it."""
+    """Output: the whole table was replaced by a snapshot; a driver with a disk begins its store anew from the table in
+    force, which may be a later one by the time it is written."""
 
     number: int
     digest: bytes
--- a/tests/test_control_day.py
+++ b/tests/test_control_day.py
@@ -25,7 +25,7 @@
 from lemonway.control.subscriber import Subscriber
 from lemonway.control.versions import Version
 from lemonway.control.voter import Contents, Voter
-from lemonway.kit.emulator import control_day
+from lemonway.kit.emulator import control_day, control_states
 from lemonway.kit.emulator.control_history import History
 
 SEEDS = 4  # of each mix; hundreds are a benchmark run
@@ -82,6 +82,33 @@
 }
 
 
+class States(Quiet):
+    """A lease on its way through a relay, in every state within a budget."""
+
+    def test_no_lease_outlasts_the_voters(self) -> None:
+        found = control_states.explore(control_states.Budget(units=2, cuts=0, waiting=1))
+        self.assertEqual((found.broken, found.way), ("", ()))
+        self.assertGreater(found.states, 30_000, "the states were visited")
+        with_cuts = control_states.explore(control_states.Budget(units=2, cuts=1, waiting=1), 60_000)
+        self.assertEqual(with_cuts.broken, "")
+
+    def test_a_lease_from_the_arrival_and_one_that_is_not_cut_are_found(self) -> None:
+        on_grant = Subscriber._on_grant
+
+        def late(self: Subscriber, grant: Grant, now: int) -> None:
+            self._stamp = now
+            on_grant(self, msgspec.structs.replace(grant, stamp=now), now)
+
+        def whole(self: Relay, now: int) -> int:
+            return 2 if self.lease.holds(now) else 0
+
+        for target, name, planted in ((Subscriber, "_on_grant", late), (Relay, "remaining", whole)):
+            with mock.patch.object(target, name, planted):
+                found = control_states.explore(control_states.Budget(units=2, cuts=0, waiting=1))
+            self.assertIn("is the latest", found.broken, name)
+            self.assertTrue(found.way)
+
+
 class Planted(Quiet):
     """Each fault is found within a few days."""
 
