--- a/lemonway/control/voter.py
+++ b/lemonway/control/voter.py
@@ -7,7 +7,6 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
@@ -31,6 +30,7 @@
 from .publisher import Publisher
 from .replica import Replica, Verdict
 from .resources import Operation, ResourceError, Table, check
+from .status import HistoryEntry, RelayStanding, VoterStatus
 from .store import Stored
 from .subscriber import FAR, Condition, Identity, Subscriber, WatchState
 from .terms import PublishTerms, VoterTerms
@@ -44,6 +44,10 @@
 
 _proposed_decoder: msgspec.msgpack.Decoder[Proposed] = msgspec.msgpack.Decoder(Proposed)
 
+class VoteError(Exception):
+    """A vote that is not on disk, and can't be taken back."""
+
+
 Validate = Callable[[Sequence[Operation], Table], str]
 
 
@@ -54,52 +58,6 @@
     LACKING = "lacking"  # it watches another voter until it has
 
 
-@dataclass(frozen=True)
-class HistoryEntry:
-    """One number that was decided. ``operations`` and ``digest`` only of versions that the log holds yet."""
-
-    number: int
-    committed: bool
-    ident: str
-    reason: str
-    by: str
-    at: int
-    operations: int
-    digest: str
-
-
-@dataclass(frozen=True)
-class RelayStanding:
-    """A relay, as this voter knows it."""
-
-    name: str
-    number: int
-    serving: bool
-    heard_us: int
-    report: Report | None
-
-
-@dataclass(frozen=True)
-class VoterStatus:
-    """For operators. Times in microseconds."""
-
-    name: str
-    number: int
-    digest: str
-    content: str
-    resources: int
-    bytes: int
-    decided: int
-    contents: str
-    serving: bool
-    why_not: str
-    lease_us: int
-    waiting: int
-    voters: dict[str, dict[str, object]]
-    relays: tuple[RelayStanding, ...]
-    nodes: Report
-
-
 def read_proposed(settings: bytes) -> Proposed:
     """A change's content. Raises ``ValueError`` for what no voter proposes."""
     try:
@@ -142,6 +100,8 @@
         self.epochs = Epochs(name, life, lambda: self.lists, Terms(
             lease_us=terms.lease_us, pulse_us=terms.heartbeat_us, fresh=first_start, together=False, disk=True), now,
             self._fits, counters, vote)
+        if vote is None and not first_start:  # the only voter has nobody to ask what it had decided
+            self.epochs.whole = False
         self._settle_contents(self.epochs.committed)
 
     # what is in force
@@ -175,9 +135,14 @@
         return self._done(now)
 
     def not_kept(self) -> None:
-        """The driver could not keep the vote: what follows it in the same outputs must not be sent."""
+        """The driver could not keep the vote: it must not carry out any ``SendVoter`` of the same outputs, but all the
+        rest. Each call asks for the vote to be kept anew, so until it is the other voters hear nothing from this one.
+        Raises ``VoteError`` where there is no other voter: the process has to end, since what it decided is not on
+        disk, and nothing that follows may be carried out."""
         self.counters["control_votes_not_kept"] += 1
-        self.epochs.not_kept()
+        if self.watch is None:
+            raise VoteError("the only voter can't keep its vote")
+        self.epochs.keep_again()
 
     # downstream
 
--- a/lemonway/kit/emulator/fault_day.py
+++ b/lemonway/kit/emulator/fault_day.py
@@ -8,7 +8,7 @@
 import heapq
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 MS = 1000
@@ -46,21 +46,6 @@
     return [Event(*event) for event in sorted(events, key=lambda event: (event[0], event[1], str(event[2])))]
 
 
-def shorten(events: list[Event], breaks: Callable[[list[Event]], bool]) -> list[Event]:
-    """A schedule that still breaks and from which no event can be left out (delta debugging by halves, then ones)."""
-    size = max(1, len(events) // 2)
-    while size:
-        start = 0
-        while start < len(events):
-            fewer = events[:start] + events[start + size:]
-            if breaks(fewer):
-                events = fewer
-            else:
-                start += size
-        size //= 2
-    return events
-
-
 class FaultDay(ABC):
     """``names``: the nodes. ``rng`` draws what the network does. ``offsets``: how far each node's clock lies from the
     day's."""
--- a/lemonway/net/program/control_file.py
+++ b/lemonway/net/program/control_file.py
@@ -78,6 +78,7 @@
 class ControlMachineFile(WatchFile, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """One machine of the control group, for `lemonway control run`."""
 
+    heartbeat_ms: Annotated[Milliseconds, Meta(description="between questions for the lease")] = 500
     role: Annotated[Literal["voter", "relay"], Meta(description="voters decide; relays copy and serve nodes")]
     name: Annotated[Name, Meta(description="of this machine; a voter's is its entry in voters")]
     voters: Annotated[dict[Name, VoterAddress], Meta(min_length=1, max_length=5, description=(
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -122,7 +122,7 @@
     def _machine(self, name: str, admin: int, file: dict[str, Any]) -> None:
         path = self.write(f"{name}.json", {"name": name, "voters": self.voters,
                                            **SHORT, **MACHINE, **file})
-        self._add(name, admin, ["lemonway.kit.cli", "--verbose", "control", "run", "--file", str(path)], {})
+        self._add(name, admin, ["lemonway.kit.cli", "control", "run", "--file", str(path)], {})
 
     def _node(self, name: str, port: int, admin: int) -> None:
         pool = self.reactor.listenTCP(0, StandInPool(self.reactor, cores=6), interface="127.0.0.1")
