Show that a spoilt state file is told and passed over

Cause: the start without a readable state file had no test. Change: one test on a node with a spoilt file.

--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -25,8 +25,9 @@
 from lemonway.control.resources import Delete, Put
 from lemonway.control.versions import NO_DIGEST, Proposed, version_of
 from lemonway.net.program import control_file, control_store
-from lemonway.net.program.config import ConfigError
+from lemonway.net.program.config import ConfigError, read_config
 from lemonway.net.program.control_store import TableFile
+from lemonway.net.program.node import Node
 from lemonway.net.program.policy import StateFile
 from lemonway.net.protocol.control import PUBLISHER_MESSAGE_MOST, SUBSCRIBER_MESSAGE_MOST, WatchClient, WatchServer
 from lemonway.net.routing.resources import why_invalid
@@ -393,6 +394,18 @@
             self.assertIn(said, str(caught.exception))
             self.assertNotIn("\n", str(caught.exception))
 
+    def test_a_spoilt_state_file_is_told_and_passed_over(self) -> None:
+        state, file = self.folder / "n1.state", self.folder / "control.json"
+        state.write_bytes(b"lemonway control 1\n" + b"\x00" * 50)
+        file.write_text(json.dumps({"relays": {"r1": "127.0.0.1:1"}, "state": str(state)}))
+        config = read_config(json.loads((ROOT / "example/config.json").read_text()), {})
+        with self.assertLogs("lemonway.net.program.control_node", "ERROR") as caught:
+            node = Node(config, selectreactor.SelectReactor(), control=str(file))
+        self.addCleanup(node.stop)
+        self.assertIn(f"control: state: {state}: ", caught.output[0])
+        self.assertEqual(node.core.counters["control_state_unread"], 1)
+        self.assertFalse(node.core.healthy, "it takes no work before a relay has given a lease")
+
     def test_bad_starts_end_with_2_and_one_line(self) -> None:
         config = self.folder / "config.json"
         config.write_text((ROOT / "example/config.json").read_text())
