Bound what a node holds back while a version does not fit it

Read: a node that can't take a version kept the operations of every later one until one fitted, without a bound. Changed: the latest operation of each resource is kept, so what is held back is bounded by the table. The test asks for it, and fails on the list that was there. tests/test_control_settings.py: green.

--- a/lemonway/net/routing/configured.py
+++ b/lemonway/net/routing/configured.py
@@ -34,13 +34,15 @@
         with the places of classes in force and of tenants."""
         self.core, self.layered, self.check, self.adopt = core, layered, check, adopt
         self._entries: dict[Key, bytes] = {}  # of the table whose versions were last told
-        self._refused: list[Operation] = []  # what did not fit yet: the next version may mend it
+        # What did not fit yet, the latest operation of each resource: the next version may mend it.
+        self._refused: dict[Key, Operation] = {}
 
     def apply(self, version: Version | None, table: Table) -> str:
         """A version is in force, or (None) the whole table was replaced. Gives why the core can't take it."""
         operations = list(version.operations) if version is not None else difference(self._entries, table)
         self._entries = table.entries
-        reason = self._put_in_force(self._refused + operations)
+        pending = self._refused | {(operation.kind, operation.name): operation for operation in operations}
+        reason = self._put_in_force(pending)
         what = "a whole table" if version is None else f"version {version.number} (proposed at {version.by})"
         if reason:
             log.error("control: %s does not fit this node: %s; it takes no work until a later version does, or its "
@@ -50,13 +52,13 @@
             log.info("control: %s is in force here, %d operations", what, len(operations))
         return reason
 
-    def _put_in_force(self, operations: list[Operation]) -> str:
+    def _put_in_force(self, pending: dict[Key, Operation]) -> str:
         try:
-            rebuilt = self.layered.apply(operations, self.check)
+            rebuilt = self.layered.apply(pending.values(), self.check)
         except ValueError as error:
-            self._refused = operations
+            self._refused = pending
             return str(error)
-        self._refused = []
+        self._refused = {}
         if rebuilt:
             self.adopt(self.layered.settings, self.layered.live, self.layered.teams)
         else:
@@ -65,7 +67,7 @@
 
     def replace_own(self, layered: LayeredSettings) -> None:
         """The node's own file was read again: ``layered`` has the whole table on top of it."""
-        self.layered, self._refused = layered, []
+        self.layered, self._refused = layered, {}
         self.adopt(layered.settings, layered.live, layered.teams)
 
 
--- a/tests/test_control_settings.py
+++ b/tests/test_control_settings.py
@@ -134,8 +134,11 @@
         with mock.patch.object(self.in_force, "check", side_effect=ValueError("a longer window")):
             self.assertEqual(self.change(CLASS), "a longer window")
             self.assertEqual(self.change(put("tenant", "outro")), "a longer window", "it still stands in the way")
+            for quota in range(1, 20):
+                self.change(put("tenant", "outro", quotaRps=quota))
+            self.assertEqual(len(self.in_force._refused), 2, "one operation a resource is held back")
         self.assertEqual(self.change(Delete("class", "extra")), "")
-        self.assertIn("outro", self.teams())
+        self.assertEqual(self.teams()["outro"].quota, 19)
 
     def test_a_whole_table_costs_what_differs(self) -> None:
         self.change(*[put("tenant", f"t{n}", quotaRps=n) for n in range(50)])
