--- a/lemonway/kit/cli/control.py
+++ b/lemonway/kit/cli/control.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 from typing import Any, BinaryIO
 
 import click
 
+from ...net.program import logs
 from .. import control as operators
 from ..emulator import report
 from ..policy import CallError
@@ -26,10 +28,12 @@
 @control.command("run")
 @click.option("--file", required=True, type=click.Path(dir_okay=False),
               help="What this machine is (deploy/control-machine.json).")
-def control_run(file: str) -> None:
+@click.pass_context
+def control_run(ctx: click.Context, file: str) -> None:
     """Run a voter or a relay until SIGTERM."""
     from ...net.program.control_machine import run
 
+    logs.set_up("json" if ctx.obj else "logfmt", logging.INFO)  # a service, as the node is
     sys.exit(run(file))
 
 
--- a/lemonway/net/program/control_machine.py
+++ b/lemonway/net/program/control_machine.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from twisted.internet.error import CannotListenError
+from twisted.python.log import PythonLoggingObserver
 
 from ...control.proposals import Full
 from ...control.relay import Relay
@@ -150,9 +151,13 @@
         for key in fresh.__struct_fields__:
             if key not in RELOADED and getattr(fresh, key) != getattr(self.file, key):
                 log.warning("SIGHUP: %s: a change takes effect only at the next start", key)
-        self.upstream.addresses = fresh.watch_addresses()
+        self.readdress(fresh)
         log.info("SIGHUP: %s: the file is read again", self.path)
 
+    def readdress(self, fresh: ControlMachineFile) -> None:
+        """Find the other machines where the file says now."""
+        self.upstream.addresses = fresh.watch_addresses()
+
     def _check_reload(self, fresh: ControlMachineFile) -> None:
         """Raises ``ConfigError`` for what can't change while the machine runs."""
         for key in ("role", "name"):
@@ -266,6 +271,10 @@
         self.mesh.start()
         self.driver.carry([])
 
+    def readdress(self, fresh: ControlMachineFile) -> None:
+        super().readdress(fresh)
+        self.mesh.change(fresh.vote_addresses(), epoch=0)
+
     def let_go(self) -> None:
         self.mesh.stop()
         self.store.file.close()
@@ -306,6 +315,8 @@
     """Run the machine that the file at ``path`` describes, until SIGTERM. Gives the exit status."""
     from twisted.internet import reactor  # installs the reactor: only when the program really runs
 
+    PythonLoggingObserver("twisted").start()
+    logging.getLogger("twisted").setLevel(logging.WARNING)
     loop: Any = reactor
     try:
         file = load_control_machine(path)
