Give reports' charts and pages a module of their own

Cause: the page and the charts of a report were private to the experiment reporter, and the scale run needs them too. The test of the page asks the moved name; nothing else of it changed.

--- a/lemonway/kit/experiment/report.py
+++ b/lemonway/kit/experiment/report.py
@@ -1,30 +1,20 @@
-"""Shows an experiment: one HTML page that needs nothing else, or CSV, or Markdown. Charts by matplotlib as SVG whose
-ink takes the page's colour, so that they can be read light, dark and printed; each has its table. Weighed: plotly and
-bokeh pages carry some MB of script for what a few lines show; Vega needs a browser to draw."""
+"""Shows an experiment: one HTML page that needs nothing else, or CSV, or Markdown. Each chart has its table."""
 
 from __future__ import annotations
 
 import csv
 import io
-import re
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from statistics import fmean
 from typing import Any
 
-import jinja2
-import matplotlib
-
 from ..emulator.report import histogram, percentiles
+from .charts import COLOURS, axes_of, page, svg
 from .compare import Difference, compare, interval
 from .plan import Plan, Run
 from .store import Store
 
-matplotlib.use("svg")
-from matplotlib import pyplot  # noqa: E402
-
-INK = "#010203"  # stands for the page's colour until the SVG is written
-COLOURS = ("#3b7dd8", "#d9822b", "#2f9e62", "#b04a9c", "#8a7b1f", "#c0434a", "#4aa3b5", "#7a6cc4")
 PARTS = (("figure", "service"), ("whole", "whole"), ("worst_window", "worst 10 s"), ("worst_class", "worst class"),
          ("worst_museum", "worst museum"))
 ARMS_DRAWN = 6
@@ -129,27 +119,9 @@
 # charts
 
 
-def _svg(figure: Any, wide: bool = True) -> str:
-    """The figure as SVG text, as wide as the page or, not ``wide``, in its own size."""
-    out = io.StringIO()
-    figure.savefig(out, format="svg", transparent=True, bbox_inches="tight", metadata={"Date": None})
-    pyplot.close(figure)
-    text = out.getvalue()
-    text = text[text.index("<svg") :].replace(INK, "currentColor")
-    return re.sub(r'width="[\d.]+pt" height="[\d.]+pt"', 'width="100%"', text, count=1) if wide else text
-
-
-def _axes(width: float = 8.0, height: float = 3.2) -> tuple[Any, Any]:
-    matplotlib.rcParams.update({
-        "svg.fonttype": "none", "svg.hashsalt": "lemonway", "text.color": INK, "axes.edgecolor": INK,
-        "axes.labelcolor": INK, "xtick.color": INK, "ytick.color": INK, "font.size": 9, "axes.spines.top": False,
-        "axes.spines.right": False, "legend.frameon": False})
-    return pyplot.subplots(figsize=(width, height))
-
-
 def service_chart(arms: Sequence[Arm]) -> str:
     """Means with their intervals, an arm a row."""
-    figure, axes = _axes(height=0.5 + 0.35 * len(arms))
+    figure, axes = axes_of(height=0.5 + 0.35 * len(arms))
     for place, arm in enumerate(arms):
         span, mean = arm.interval(), arm.mean()
         if mean is None:
@@ -160,12 +132,12 @@
     axes.set_yticks(range(len(arms)), [arm.name for arm in arms])
     axes.invert_yaxis()
     axes.set_xlabel("service, mean and 95% interval over seeds")
-    return _svg(figure)
+    return svg(figure)
 
 
 def day_chart(arm: Arm) -> str:
     """Asked, in time, late and not served by window, summed over seeds; the first seed's troubles are marked."""
-    figure, axes = _axes()
+    figure, axes = axes_of()
     days = list(arm.days.values())
     count = min(len(day["windows"]) for day in days)
     at = [row["from_s"] for row in days[0]["windows"][:count]]
@@ -183,7 +155,7 @@
     axes.set_xlabel("seconds; red: what happened, of the first seed")
     axes.set_ylabel("requests in 5 s, mean")
     axes.legend(loc="upper left", bbox_to_anchor=(1, 1))
-    return _svg(figure)
+    return svg(figure)
 
 
 def day_table(arm: Arm) -> tuple[list[str], list[list[str]]]:
@@ -203,7 +175,7 @@
     down, across = (plan.grid[key] for key in keys)
     cells = [[arms[i * len(across) + j].mean() for j in range(len(across))] for i in range(len(down))]
     shown = [[float("nan") if cell is None else cell for cell in row] for row in cells]
-    figure, axes = _axes(width=1.5 + 1.2 * len(across), height=1.0 + 0.6 * len(down))
+    figure, axes = axes_of(width=1.5 + 1.2 * len(across), height=1.0 + 0.6 * len(down))
     axes.imshow(shown, cmap="viridis", aspect="auto")
     for i, row in enumerate(cells):
         for j, cell in enumerate(row):
@@ -213,7 +185,7 @@
     axes.set_yticks(range(len(down)), [f"{v}" for v in down])
     axes.set_xlabel(keys[1])
     axes.set_ylabel(keys[0])
-    return _svg(figure, wide=False)
+    return svg(figure, wide=False)
 
 
 def latency_table(arms: Sequence[Arm]) -> tuple[list[str], list[list[str]]]:
@@ -226,9 +198,6 @@
 
 
 def to_html(plan: Plan, runs: Sequence[Run], arms: Sequence[Arm], earlier: Store | None = None) -> str:
-    environment = jinja2.Environment(
-        loader=jinja2.PackageLoader("lemonway.kit.experiment"), autoescape=True, undefined=jinja2.StrictUndefined,
-        trim_blocks=True, lstrip_blocks=True)
     square = len([key for key, values in plan.grid.items() if len(values) > 1]) == 2 and not plan.code
     sections = []
     for name in plan.scenarios:
@@ -246,5 +215,5 @@
             "days": [{"arm": arm.name, "chart": day_chart(arm), "table": day_table(arm)} for arm in mine[:ARMS_DRAWN]],
             "left_out": max(0, len(mine) - ARMS_DRAWN),
         })
-    return environment.get_template("report.html").render(
-        plan=plan, sections=sections, played=sum(len(arm.days) for arm in arms), wanted=len(runs))
+    return page(
+        "report.html", plan=plan, sections=sections, played=sum(len(arm.days) for arm in arms), wanted=len(runs))
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -22,7 +22,7 @@
 
 from lemonway.kit import cli
 from lemonway.kit.emulator.scenario import ScenarioError
-from lemonway.kit.experiment import compare, plan, report
+from lemonway.kit.experiment import charts, compare, plan, report
 from lemonway.kit.experiment.runner import RunError, play_again, play_missing, play_run
 from lemonway.kit.experiment.store import Store, StoreError
 
@@ -262,7 +262,7 @@
         for _, attributes in page.tags:  # nothing is fetched
             for name in ("src", "href"):
                 self.assertFalse(str(attributes.get(name, "")).startswith("http"), attributes)
-        self.assertNotIn(report.INK, text)
+        self.assertNotIn(charts.INK, text)
         for svg in text.split("<svg")[1:]:
             ElementTree.fromstring("<svg" + svg.split("</svg>")[0] + "</svg>")
         self.assertEqual(len(Path(out["csv"]).read_text().splitlines()), 9)
