--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of the README. Each does all the set-up it needs; `make build` is the deploy build.
 PYTHON = .venv/bin/python
 
-.PHONY: build dev demo check test lint guard bench run rehearse theory
+.PHONY: build dev demo check test lint guard bench run rehearse theory scale
 
 build:
 	cmp -s requirements.txt .venv/built || (rm -rf .venv && python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built)
@@ -40,3 +40,9 @@
 # The emulated pool against queueing theory: two million arrivals a case, about three minutes on four cores.
 theory: dev
 	$(PYTHON) -m lemonway.kit.emulator.theory
+
+# 5,000 nodes' control text over real sockets, ten real nodes and fifteen control processes under faults: four minutes
+# of the whole machine. SCALE="--hollow 200 --real 3 --control 5 --seconds 40" for a small one.
+scale: dev
+	mkdir -p build
+	$(PYTHON) -m benchmarks.scale --json build/scale.json --html build/scale.html $(SCALE)
