Probe the control group's table by resources, and sketch a compact form

Why: the design of the control group has to say by a measured sketch how a node stays within 64 MB at 630,000 tenants and 220,000 routes. Change: benchmarks/slopes/table.py plays the built table and the sketch (name hashes and packed figures in one open-addressed table) at up to the planned size; two tests of causes.

--- a/benchmarks/slopes/registry.py
+++ b/benchmarks/slopes/registry.py
@@ -12,9 +12,10 @@
     replication,
     routes,
     settings,
+    table,
 )
 from .model import Probe
 
 PROBES: dict[str, Probe] = {probe.name: probe for probe in (
     epochs.PROBE, replication.PROBE, settings.PROBE, routes.PROBE, decisions.PROBE, connections.PROBE, listing.PROBE,
-    added_time.PROBE, cold_ramp.PROBE)}
+    added_time.PROBE, cold_ramp.PROBE, table.PROBE)}
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -16,7 +16,17 @@
 
 from click.testing import CliRunner
 
-from benchmarks.slopes import added_time, cold_ramp, connections, decisions, listing, replication, routes, settings
+from benchmarks.slopes import (
+    added_time,
+    cold_ramp,
+    connections,
+    decisions,
+    listing,
+    replication,
+    routes,
+    settings,
+    table,
+)
 from benchmarks.slopes.__main__ import main, play
 from benchmarks.slopes.epochs import SECOND, Fleet, play_change, rejoin_bytes
 from benchmarks.slopes.fit import Fit, Point, fit
@@ -210,6 +220,20 @@
         self.assertIs(front.site, before)
 
 
+class ByResources(unittest.TestCase):
+    def test_a_change_of_the_table_touches_its_own_entry(self) -> None:
+        built = table.built_table(50)
+        before = dict(built.entries)
+        built.apply((table.tenant(7, 9.0),))
+        changed = [key for key in before if built.entries[key] is not before[key]]
+        self.assertEqual(changed, [("tenant", "tenant-0000007")])
+
+    def test_the_compact_sketch_holds_each_name_once_in_slots_of_one_size(self) -> None:
+        sketch = table.compact_table(100)
+        table.change_compact(sketch, 100)
+        self.assertEqual((sketch.slots.nbytes, int((sketch.names != 0).sum())), (128 * table.SLOT.itemsize, 100))
+
+
 class OnRealProcesses(unittest.TestCase):
     def test_a_connection_costs_one_descriptor_and_the_table_has_a_bound(self) -> None:
         self.assertEqual(connections.connection_bound(), 776)
@@ -254,7 +278,7 @@
 
     def test_every_subject_is_there(self) -> None:
         self.assertEqual(list(PROBES), ["epochs", "replication", "settings", "routes", "decisions", "connections",
-                                        "listing", "added-time", "cold-ramp"])
+                                        "listing", "added-time", "cold-ramp", "table"])
 
     def test_a_void_run_gives_no_figures_and_ends_with_1(self) -> None:
         def late(quick: bool) -> Iterator[Any]:
