Give the control roles one text of what they tell of their replica

The three properties of agent, relay and voter stood three times. tests/test_control.py and tests/test_control_day.py: 67 passed; ruff and mypy clean.

--- a/lemonway/control/agent.py
+++ b/lemonway/control/agent.py
@@ -7,7 +7,7 @@
 
 from .lease import NEVER, Lease
 from .messages import AgentOutput, FromPublisher, KeepTable, KeepVersion, Report, SubscriberOutput
-from .replica import Replica
+from .replica import Replica, Replicated
 from .resources import Table
 from .status import AgentStatus
 from .store import Stored
@@ -19,7 +19,7 @@
 NOTHING: list[AgentOutput] = []  # what most calls give; never added to
 
 
-class Agent:
+class Agent(Replicated):
     """The node's part. Each call gives outputs that the driver carries out in order.
 
     ``apply(version, table)`` is called when a version is in force (its operations are in ``table`` already), and with
@@ -44,22 +44,7 @@
             self.replica.replace(stored.number, stored.digest, stored.table)
             self.unfit = apply(None, stored.table)
 
-    # what is in force
-
-    @property
-    def number(self) -> int:
-        """The version in force here."""
-        return self.replica.number
-
-    @property
-    def digest(self) -> bytes:
-        """The digest of the version in force here."""
-        return self.replica.digest
-
-    @property
-    def table(self) -> Table:
-        """The resources in force here."""
-        return self.replica.table
+    # its lease
 
     @property
     def lease_until(self) -> int:
--- a/lemonway/control/relay.py
+++ b/lemonway/control/relay.py
@@ -8,15 +8,14 @@
 from .lease import NEVER, Lease
 from .messages import FromPublisher, FromSubscriber, PublisherOutput, RelayOutput, Report, SubscriberOutput
 from .publisher import Publisher
-from .replica import Replica
-from .resources import Table
+from .replica import Replica, Replicated
 from .status import RelayStatus
 from .subscriber import Condition, Identity, Subscriber
 from .terms import PublishTerms, WatchTerms
 from .versions import Version
 
 
-class Relay:
+class Relay(Replicated):
     """One relay. Each call gives outputs that the driver carries out in order; ``due`` is when ``tick`` is wanted."""
 
     def __init__(self, name: str, life: int, voters: Sequence[str], watch: WatchTerms, publish: PublishTerms, now: int,
@@ -30,21 +29,6 @@
                                 counters)
         self._published: list[PublisherOutput] = []
 
-    @property
-    def number(self) -> int:
-        """The version in force here."""
-        return self.replica.number
-
-    @property
-    def digest(self) -> bytes:
-        """The digest of the version in force here."""
-        return self.replica.digest
-
-    @property
-    def table(self) -> Table:
-        """The resources in force here."""
-        return self.replica.table
-
     @property
     def due(self) -> int:
         """When ``tick`` is wanted next."""
--- a/lemonway/control/replica.py
+++ b/lemonway/control/replica.py
@@ -76,3 +76,24 @@
     def replace(self, number: int, digest: bytes, table: Table) -> None:
         """Take a whole table."""
         self.number, self.digest, self.table = number, digest, table
+
+
+class Replicated:
+    """What every role tells of its replica."""
+
+    replica: Replica
+
+    @property
+    def number(self) -> int:
+        """The version in force here."""
+        return self.replica.number
+
+    @property
+    def digest(self) -> bytes:
+        """The digest of the version in force here."""
+        return self.replica.digest
+
+    @property
+    def table(self) -> Table:
+        """The resources in force here."""
+        return self.replica.table
--- a/lemonway/control/voter.py
+++ b/lemonway/control/voter.py
@@ -28,7 +28,7 @@
 )
 from .proposals import Proposal, Proposals
 from .publisher import Publisher
-from .replica import Replica, Verdict
+from .replica import Replica, Replicated, Verdict
 from .resources import Operation, ResourceError, Table, check
 from .status import HistoryEntry, RelayStanding, VoterStatus
 from .store import Stored
@@ -68,7 +68,7 @@
     return proposed
 
 
-class Voter:
+class Voter(Replicated):
     """One voter. Each call gives outputs that the driver carries out in order; ``due`` is when ``tick`` is wanted."""
 
     def __init__(self, name: str, life: int, voters: Sequence[str], terms: VoterTerms, publish: PublishTerms, now: int,
@@ -104,23 +104,6 @@
             self.epochs.whole = False
         self._settle_contents(self.epochs.committed)
 
-    # what is in force
-
-    @property
-    def number(self) -> int:
-        """The version in force here."""
-        return self.replica.number
-
-    @property
-    def digest(self) -> bytes:
-        """The digest of the version in force here."""
-        return self.replica.digest
-
-    @property
-    def table(self) -> Table:
-        """The resources in force here."""
-        return self.replica.table
-
     @property
     def outcomes(self) -> Mapping[str, Outcome]:
         """What became of the proposals that were made here: ``queued``, ``checking``, ``deciding``, ``committed``,
