End a lone voter whose disk fails, withhold only votes, and mend the rig's look at killed processes

Read: the driver kept back messages to subscribers too where a vote could not be written, and a lone voter that can't keep its vote went on (VoteError was not met). Changed: only votes are kept back; a lone voter ends with status 1.

--- a/lemonway/kit/scale/processes.py
+++ b/lemonway/kit/scale/processes.py
@@ -91,11 +91,12 @@
                     ) -> None:
         limits = {"parent": os.getpid(), "cpus": list(cpus)}
         env = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-        self.expected_end = False
-        self.process = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             sys.executable, str(LAUNCH), json.dumps(limits), sys.executable, *arguments,
             stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
             start_new_session=True, limit=LINE_MOST, env=env | {"PYTHONPATH": str(ROOT)} | (environment or {}))
+        # Both at once: while the new one is being made, a look at the old one must find its end expected.
+        self.process, self.expected_end = process, False
         self._tasks = [asyncio.create_task(self._read_log(self.process)),
                        asyncio.create_task(self._read_words(self.process))]
 
--- a/lemonway/net/program/control_machine.py
+++ b/lemonway/net/program/control_machine.py
@@ -62,6 +62,7 @@
         self.life = self.turns.clock.to_unix_us(self.turns.clock.now)
         self.ports: list[Any] = []
         self.ended = False
+        self.exit_status = 0
 
     @property
     def now(self) -> int:
@@ -219,13 +220,19 @@
         self.mesh = Mesh(reactor, self.turns, file.name, self.life, len(file.voters), file.vote_addresses(),
                          MESH_QUEUE, self.counters, label="control", prefix="control_votes")
         self.role: Voter = self._voter()
-        self.driver = PublisherDriver(self.turns, self.role, self.upstream, self.watches, self.mesh, self._as_store())
+        self.driver = PublisherDriver(self.turns, self.role, self.upstream, self.watches, self.mesh, self._as_store(),
+                                      on_fatal=self._end_by_fault)
         self.watches.events = self.upstream.events = self.driver
         self.mesh.receive = self.driver.voter_said
 
     def _as_store(self) -> Store:
         return self.store
 
+    def _end_by_fault(self, reason: str) -> None:
+        log.error("control: %s ends: %s", self.file.name, reason)
+        self.exit_status = 1
+        self.end()
+
     def _open_store(self) -> VoterStore:
         try:
             os.makedirs(self.file.disk, exist_ok=True)
@@ -337,4 +344,4 @@
     log.info("%s runs as a %s, pid %d", file.name, file.role, os.getpid())
     loop.run(installSignalHandlers=False)
     machine.print_counters()
-    return 0
+    return machine.exit_status
--- a/lemonway/net/routing/control_driver.py
+++ b/lemonway/net/routing/control_driver.py
@@ -10,6 +10,7 @@
 from ...control import messages
 from ...control.messages import AgentOutput, FromPublisher, FromSubscriber, RelayOutput, VoterOutput
 from ...control.versions import Version
+from ...control.voter import VoteError
 from ..transport.clock import Turns
 
 log = logging.getLogger(__name__)
@@ -95,13 +96,16 @@
 
     def __init__(self, turns: Turns, role: Any, upstream: Upstream | None = None, downstream: Downstream | None = None,
                  voters: Voters | None = None, store: Store | None = None,
-                 after: Callable[[], None] = lambda: None) -> None:
-        """``after`` is called each time that the role has been told something and its outputs are carried out."""
-        self.turns, self.role, self.after = turns, role, after
+                 after: Callable[[], None] = lambda: None,
+                 on_fatal: Callable[[str], None] = lambda reason: None) -> None:
+        """``after`` is called each time that the role has been told something and its outputs are carried out;
+        ``on_fatal`` once, with the reason, where the role can't go on: the process has to end."""
+        self.turns, self.role, self.after, self.on_fatal = turns, role, after, on_fatal
         self.upstream, self.downstream, self.voters = upstream, downstream, voters
         self.store: Store = store or NoStore()
         self.alarm = Alarm(turns, lambda: int(role.due), self._tick)
         self._kept = True  # whether what was to be on disk in this batch is there
+        self._halted = False  # the role can't go on: nothing more is carried out
         self._carry_out: dict[type, Callable[[Any], None]] = {
             messages.Dial: self._dial, messages.HangUp: self._hang_up, messages.Say: self._say,
             messages.Send: self._send, messages.Drop: self._drop, messages.SendVoter: self._send_voter,
@@ -117,6 +121,8 @@
         """Carry out what the role wants done."""
         self._kept = True
         for output in outputs:
+            if self._halted:
+                return
             self._carry_out[type(output)](output)
         self.alarm.arm()
         self.after()
@@ -138,11 +144,11 @@
             self.upstream.hang_up()
 
     def _say(self, output: messages.Say) -> None:
-        if self.upstream is not None and self._kept:
+        if self.upstream is not None:
             self.upstream.say(output.message)
 
     def _send(self, output: messages.Send) -> None:
-        if self.downstream is not None and self._kept:
+        if self.downstream is not None:
             self.downstream.send(output.link, output.message)
 
     def _drop(self, output: messages.Drop) -> None:
@@ -163,9 +169,15 @@
             self._forget()
 
     def _forget(self) -> None:
-        """The disk does not have what the role's messages rest on: none that follows is sent."""
+        """The disk does not have what votes rest on: none that follows is told to the other voters. A voter without
+        others can't go on."""
         self._kept = False
-        self.role.not_kept()
+        try:
+            self.role.not_kept()
+        except VoteError as error:
+            self._halted = True
+            self.stop()
+            self.on_fatal(str(error))
 
     def _keep_table(self, output: messages.KeepTable) -> None:
         self.store.keep_table(output.number, output.digest)
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -20,16 +20,29 @@
 from jsonschema import Draft202012Validator
 from twisted.internet import selectreactor
 
-from lemonway.control.messages import PROTOCOL, FromPublisher, FromSubscriber, Grant, Heartbeat, Refuse, Watch
+from lemonway.control.messages import (
+    PROTOCOL,
+    FromPublisher,
+    FromSubscriber,
+    Grant,
+    Heartbeat,
+    KeepVote,
+    Refuse,
+    Send,
+    SendVoter,
+    Watch,
+)
 from lemonway.control.replica import Replica
 from lemonway.control.resources import Delete, Put
 from lemonway.control.versions import NO_DIGEST, Proposed, version_of
+from lemonway.control.voter import VoteError
 from lemonway.net.program import control_file, control_store
 from lemonway.net.program.config import ConfigError, read_config
 from lemonway.net.program.control_store import TableFile
 from lemonway.net.program.node import Node
 from lemonway.net.program.policy import StateFile
 from lemonway.net.protocol.control import PUBLISHER_MESSAGE_MOST, SUBSCRIBER_MESSAGE_MOST, WatchClient, WatchServer
+from lemonway.net.routing.control_driver import PublisherDriver
 from lemonway.net.routing.resources import why_invalid
 from lemonway.net.transport.clock import Clock, Turns
 
@@ -503,5 +516,28 @@
         self.assertEqual((self.counters["control_not_kept"], self.counters["control_vote_not_kept"]), (2, 1))
 
 
+class FullDisk(unittest.TestCase):
+    """What a driver carries out once a voter's disk has failed."""
+
+    OUTPUTS = (Send(1, Refuse("before", 0)), KeepVote(b"vote"), SendVoter("v2", "a vote"), Send(1, Refuse("after", 0)))
+
+    def carry(self, **role: Any) -> tuple[unittest.mock.Mock, unittest.mock.Mock, list[str]]:
+        links, voters, fatal = unittest.mock.Mock(), unittest.mock.Mock(), list[str]()
+        store = unittest.mock.Mock(**{"keep_vote.return_value": False})
+        driver = PublisherDriver(unittest.mock.Mock(**{"clock.now": 0}), unittest.mock.Mock(due=0, **role),
+                                 downstream=links, voters=voters, store=store, on_fatal=fatal.append)
+        driver.carry(self.OUTPUTS)
+        driver.carry(self.OUTPUTS[:1])
+        return links, voters, fatal
+
+    def test_the_other_voters_hear_nothing_and_subscribers_all(self) -> None:
+        links, voters, fatal = self.carry()
+        self.assertEqual((links.send.call_count, voters.send.call_count, fatal), (3, 0, []))
+
+    def test_a_lone_voter_carries_out_nothing_more_and_ends(self) -> None:
+        links, voters, fatal = self.carry(**{"not_kept.side_effect": VoteError("no disk")})
+        self.assertEqual((links.send.call_count, voters.send.call_count, fatal), (1, 0, ["no disk"]))
+
+
 if __name__ == "__main__":
     unittest.main()
