--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -265,7 +265,6 @@
             stdout=log,
             stderr=log,
             pass_fds=pass_fds,
-            start_new_session=True,
         )
         log.close()
         self.record.note(f"{self.name}: process {self.process.pid} started")
@@ -329,11 +328,17 @@
     record.note(f"the case {'with' if trouble else 'without'} its disruption")
 
     async def bounded() -> list[str]:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        assert task is not None
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)  # so that the processes are ended then, too
         return await asyncio.wait_for(case(record, trouble), seconds)
 
     try:
         broken = asyncio.run(bounded())
-    except Exception as error:  # whatever kept the case from its end, it is no verdict about the rule
+    except (
+        Exception,
+        asyncio.CancelledError,
+    ) as error:  # whatever kept the case from its end, it is no verdict about the rule
         record.note(f"the case could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(COULD_NOT_RUN)
