Log what a reload changes in a class's promise, and count keys that are not used

Change: one log line for each class whose effect, memorySpan or deadline a change of settings alters, whichever way it came (SIGHUP, policy, control group); both front ends hand on a valid key in every class, and the core counts those of classes that are not keyed (keys_ignored). No decision changes.

--- a/lemonway/net/ports.py
+++ b/lemonway/net/ports.py
@@ -57,7 +57,7 @@
     work_ms: float | None = None
     memory_kb: float = 0.0
     rank: float = 0.0
-    idempotency_key: str = ""
+    idempotency_key: str = ""  # as the caller gave it, also in a class that is not keyed; empty: none, or not valid
     item_id: int = 0
     timeout_us: int = 0  # how long the caller waits; 0 = not stated, the class's deadline applies
     retry: bool = False  # marked as a retry or a hedged copy
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -21,7 +21,7 @@
 
 from ...interface import Settings
 from ...limits.ramp import Ramp
-from ...settings import merge_settings
+from ...settings import describe_class_changes, merge_settings
 from ..protocol.announce import AnnounceClient
 from ..protocol.backend import BackendClient
 from ..protocol.pool import PoolLink
@@ -339,6 +339,8 @@
         self, settings: Settings, active_classes: list[int], tenant_indices: dict[bytes, int] | None = None
     ) -> None:
         """Use ``settings`` from the next step on; ``tenant_indices``: the tenants' indices by name, if known."""
+        for change in describe_class_changes(self.core.settings, settings):
+            log.info("settings: class %s", change)
         self.core.update_settings(settings, active_classes)
         self.router_factory.names = NameLookup.from_settings(settings, active_classes, tenant_indices)
         for connection in self.core.frontend_connections:
--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -210,8 +210,10 @@
         if tenant < 0:
             raise FieldError(f"team is unknown: {fields[b'team'][:40]!r}")
     idempotency_key = fields.get(b"unique", b"")
-    if class_index in names.keyed_classes and not _IDEMPOTENCY_KEY.match(idempotency_key):
-        raise FieldError(f"unique is invalid: {idempotency_key[:40]!r}")
+    if (idempotency_key or class_index in names.keyed_classes) and not _IDEMPOTENCY_KEY.match(idempotency_key):
+        if class_index in names.keyed_classes:
+            raise FieldError(f"unique is invalid: {idempotency_key[:40]!r}")
+        idempotency_key = b""
     item_id = fields.get(b"item", b"")
     if item_id and not _TXN.match(item_id):
         raise FieldError(f"item is invalid: {item_id[:40]!r}")
@@ -233,7 +235,7 @@
         _decimal(fields, b"cpu", 0.0, 1e7) or None,
         _decimal(fields, b"ram", 0.0, 1e6),
         _decimal(fields, b"standing", 0.0, 1.0),
-        idempotency_key.decode() if class_index in names.keyed_classes else "",
+        idempotency_key.decode() if idempotency_key else "",
         int(item_id, 16) if item_id else 0,
         max(1, round(timeout_ms * 1000)) if timeout_ms >= 0 else 0,
         retry == b"1",
--- a/lemonway/net/protocol/uwsgi.py
+++ b/lemonway/net/protocol/uwsgi.py
@@ -243,12 +243,12 @@
             self.respond(413)
             return
         idempotency_key = ""
-        if handler.settings.request_classes[location.class_index].effect is Effect.KEYED:
-            key = self.variables.get("HTTP_IDEMPOTENCY_KEY", "").strip()
-            if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARS:  # without a key a duplicate could run twice
-                self.respond(400)
-                return
-            idempotency_key = hashlib.sha256(f"{self.tenant} {location.class_index} {key}".encode()).hexdigest()[:32]
+        is_keyed = handler.settings.request_classes[location.class_index].effect is Effect.KEYED
+        if is_keyed or "HTTP_IDEMPOTENCY_KEY" in self.variables:
+            idempotency_key = self.read_idempotency_key(location.class_index)
+        if is_keyed and not idempotency_key:  # without a key a duplicate could run twice
+            self.respond(400)
+            return
         self.state = "open"
         handler.counters["uwsgi_requests"] += 1
         request_id = handler.submit(
@@ -268,6 +268,13 @@
         )
         self.request_id = request_id
 
+    def read_idempotency_key(self, class_index: int) -> str:
+        """The key of this request among all requests of the node; empty if its header is missing or too long."""
+        key = self.variables.get("HTTP_IDEMPOTENCY_KEY", "").strip()
+        if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARS:
+            return ""
+        return hashlib.sha256(f"{self.tenant} {class_index} {key}".encode()).hexdigest()[:32]
+
     def respond(self, status: int) -> None:
         self.handler.counters[f"uwsgi_{status}"] += 1
         self.send(encode_response(status, REASON_PHRASES[status] + b"\n", head_only=self.is_head_request))
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -139,6 +139,8 @@
         """Accept a request. Return its id, or 0 if it was answered immediately."""
         self.counters["requests"] += 1
         keyed = self.settings.request_classes[incoming.class_index].effect is Effect.KEYED
+        if incoming.idempotency_key and not keyed:
+            self.counters["keys_ignored"] += 1
         if incoming.txn in self.by_txn:
             self.counters["bad_txn"] += 1
             self._send(incoming, Answer(Verdict.FAILED))
--- a/lemonway/settings.py
+++ b/lemonway/settings.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import replace
+from enum import Enum
 from typing import Any
 
 from . import interface as api
@@ -74,6 +75,25 @@
     return replace(new, request_classes=request_classes, tenants=tenants), active
 
 
+# The settings of a class that decide what its callers are promised, by their key in the configuration.
+_PROMISE_KEYS = {"effect": "effect", "memorySpan": "idempotency_window_ms", "deadline": "deadline_ms"}
+
+
+def describe_class_changes(old: Settings, new: Settings) -> list[str]:
+    """One line for each class whose effect, idempotency window or deadline differs between ``old`` and ``new``. Both
+    have each class at the same index, as ``merge_settings`` arranges them; added classes are left out."""
+    descriptions: list[str] = []
+    for old_class, new_class in zip(old.request_classes, new.request_classes, strict=False):
+        changes = [
+            f"{key} from {_as_text(old_value)} to {_as_text(new_value)}"
+            for key, attribute in _PROMISE_KEYS.items()
+            if (old_value := getattr(old_class, attribute)) != (new_value := getattr(new_class, attribute))
+        ]
+        if changes:
+            descriptions.append(f"{new_class.name}: {', '.join(changes)}")
+    return descriptions
+
+
 def flatten(json_value: Any, path: str = "") -> dict[str, str]:
     """Converts nested JSON to text values by path, as the simulator writes them: a list of objects becomes ``.count``
     and the elements ``.0``, ``.1`` and so on; a list of plain values is joined by commas."""
@@ -95,6 +115,8 @@
 def _as_text(json_value: Any) -> str:
     if isinstance(json_value, bool):
         return "true" if json_value else "false"
+    if isinstance(json_value, Enum):
+        return str(json_value.value)
     return "" if json_value is None else str(json_value)
 
 
