Turn down settings whose classes lack their effect, or a keyed class its window

Cause: read_checked_settings wanted a class's name, aim and deadline only; read_settings fills in what is missing, so the class became `safe` (and without `memorySpan` its window 0). docs/operators/service.md: a file that lacks a key "changes nothing".

Change: `effect`, and `memorySpan` where the class is keyed, have no default; null counts as missing. The old settings stay, one line names file and key, reloads_failed counts it; at the start exit 2. The wire page does not list either as a key that may be absent; `memorySpan` is described "for `keyed`", so other classes may lack it.

--- a/lemonway/net/program/config.py
+++ b/lemonway/net/program/config.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ...interface import Settings
+from ...interface import Effect, Settings
 from ...settings import flatten, read_settings
 
+EFFECT_NAMES = tuple(effect.value for effect in Effect)
+
 
 class ConfigError(Exception):
     """An invalid value; the message names its key."""
@@ -67,6 +69,27 @@
     return float(value)
 
 
+def _check_class(path: str, raw_class: Any) -> None:
+    """Check the values of a class that decide what its callers are promised. They have no defaults, so settings without
+    them are rejected as a whole; with a default, a class that must not run twice would turn into one that may. Raises
+    ``ConfigError``."""
+    if not isinstance(raw_class, dict) or not isinstance(raw_class.get("name"), str) or not raw_class["name"]:
+        raise ConfigError(f"{path}.name: missing or not a word")
+    for key in ("aim", "deadline"):
+        if _number(f"{path}.{key}", raw_class.get(key), 0) <= 0:
+            raise ConfigError(f"{path}.{key}: {raw_class[key]!r} is not a number above 0")
+    if "effect" not in raw_class:
+        raise ConfigError(f"{path}.effect: missing")
+    effect = raw_class["effect"]
+    if effect not in EFFECT_NAMES:
+        raise ConfigError(f"{path}.effect: {effect!r} is none of {', '.join(EFFECT_NAMES)}")
+    if effect != Effect.KEYED.value:
+        return  # its window has no meaning
+    if "memorySpan" not in raw_class:
+        raise ConfigError(f"{path}.memorySpan: missing in a keyed class")
+    _number(f"{path}.memorySpan", raw_class["memorySpan"], 0)
+
+
 def read_checked_settings(raw: dict[str, Any]) -> Settings:
     """Read settings from their JSON and check what the node requires of them. Raises ``ConfigError``."""
     try:
@@ -79,12 +102,7 @@
     if not isinstance(raw_classes, list) or not raw_classes:
         raise ConfigError("settings: lanes: missing or not a list of classes")
     for n, raw_class in enumerate(raw_classes):
-        # Required values of a class have no defaults: a file without them is rejected as a whole.
-        if not isinstance(raw_class, dict) or not isinstance(raw_class.get("name"), str) or not raw_class["name"]:
-            raise ConfigError(f"settings: lanes.{n}.name: missing or not a word")
-        for key in ("aim", "deadline"):
-            if _number(f"settings: lanes.{n}.{key}", raw_class.get(key), 0) <= 0:
-                raise ConfigError(f"settings: lanes.{n}.{key}: {raw_class[key]!r} is not a number above 0")
+        _check_class(f"settings: lanes.{n}", raw_class)
     if len({each.name for each in settings.request_classes}) < len(settings.request_classes):
         raise ConfigError("settings: lanes: two classes have the same name")
     return settings
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -327,10 +327,19 @@
         deep, odd = site_settings(), site_settings(say="loudly")
         deep["lanes"][1]["aim"] = "soon"
         odd["lanes"][1]["effect"] = "sometimes"
+        # Without them a class would silently get the default: safe, or no window.
+        no_effect, no_window, null_effect, null_window = (site_settings() for _ in range(4))
+        del no_effect["lanes"][3]["effect"], no_window["lanes"][3]["memorySpan"]
+        null_effect["lanes"][0]["effect"] = None
+        null_window["lanes"][3]["memorySpan"] = None
         for settings, named in [
             (deep, "lanes.1.aim"),
             ({"familyInfo": {"cores": 0}}, "cores"),
             (odd, "lanes.1.effect"),
+            (no_effect, "settings: lanes.3.effect: missing"),
+            (null_effect, "settings: lanes.0.effect: None is none of safe, keyed, unsafe"),
+            (no_window, "settings: lanes.3.memorySpan: missing"),
+            (null_window, "settings: lanes.3.memorySpan: None is not a number of 0 or more"),
             (site_settings(say="loudly"), "familyInfo.say"),
         ]:
             with self.assertRaisesRegex(ConfigError, named):
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -160,6 +160,9 @@
             without("settings", "lanes"),
             without("settings", "lanes", 1, "deadline"),
             without("settings", "lanes", 1, "name"),
+            without("settings", "lanes", 1, "effect"),
+            without("settings", "lanes", 3, "effect"),
+            without("settings", "lanes", 3, "memorySpan"),
             *map(deadline, odd),
         ]
         core = self.harness.node.core
