Turn down a proposed class without its effect, and read a stored one by the node's file

Change: a proposal has to state `effect`, and `memorySpan` where the class is keyed (one line names the class and the key). A stored value without them, as older voters accept it, is completed from the class of that name in the node's own file, like `calls` and `skipWorth`, so that a node of this version does not stop work over a table of an older one; a class that no file knows stays `safe` there.

Inputs of tests that stand for other errors state their effect now, so that each still fails for its own reason; test_control_live's proposal of a class does too, since it is no longer accepted without.

Failed on the text before: test_a_class_without_an_effect_is_as_in_the_file (safe, 0.0) and the added lines of test_errors_of_invalid_resources_give_their_name_and_the_reason.

--- a/lemonway/net/routing/resources.py
+++ b/lemonway/net/routing/resources.py
@@ -31,10 +31,10 @@
     deadline: Positive
     name: str = ""
     aim_stretch: Number = 0.0
-    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    effect: Literal["safe", "keyed", "unsafe"] | None = None  # None: as in the class of this name in the node's file
     worth: Number = 1.0
     late_value: Number = 0.0
-    memory_span: Number = 0.0
+    memory_span: Number | None = None  # None: as in the class of this name in the node's file
     calls: bool | None = None  # None: as in the class of this name in the node's file
     skip_worth: Number | None = None
 
@@ -105,28 +105,31 @@
     """Returns the class that a resource describes. ``file_class``: the class of this name in the node's file. Raises
     ``InvalidResource``."""
     value: ClassValue = _decode_value(_class_decoder, operation)
-    calls = value.calls if value.calls is not None else file_class is not None and file_class.makes_calls
-    skip_worth = (
-        value.skip_worth
-        if value.skip_worth is not None
-        else file_class.skipped_call_value
-        if file_class is not None
-        else 0.0
-    )
+    base = file_class if file_class is not None else RequestClass()
     return RequestClass(
         operation.name,
         value.aim,
         value.aim_stretch,
         value.deadline,
-        Effect(value.effect),
+        Effect(value.effect) if value.effect is not None else base.effect,
         value.worth,
         value.late_value,
-        value.memory_span,
-        calls,
-        skip_worth,
+        value.memory_span if value.memory_span is not None else base.idempotency_window_ms,
+        value.calls if value.calls is not None else base.makes_calls,
+        value.skip_worth if value.skip_worth is not None else base.skipped_call_value,
     )
 
 
+def _check_proposed_class(operation: Put) -> None:
+    """Raises ``InvalidResource`` for a class that no node can apply, or that does not state what its callers are
+    promised. Nodes read a class without an effect, as older voters accepted it, by their own files."""
+    value: ClassValue = _decode_value(_class_decoder, operation)
+    if value.effect is None:
+        raise InvalidResource(f"class {operation.name}: effect: missing")
+    if value.effect == Effect.KEYED.value and value.memory_span is None:
+        raise InvalidResource(f"class {operation.name}: memorySpan: missing in a keyed class")
+
+
 def read_tenant(operation: Put) -> Tenant:
     """Returns the tenant that a resource describes. Raises ``InvalidResource``."""
     value: TenantValue = _decode_value(_tenant_decoder, operation)
@@ -161,7 +164,7 @@
     if not isinstance(operation, Put):
         return
     if operation.kind == "class":
-        read_class(operation)
+        _check_proposed_class(operation)
     elif operation.kind == "tenant":
         read_tenant(operation)
     elif operation.kind == "limit":
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -250,7 +250,7 @@
             {
                 "put": [
                     tenant("novo"),
-                    {"kind": "class", "name": "extra", "value": {"aim": 1000, "deadline": 2000}},
+                    {"kind": "class", "name": "extra", "value": {"aim": 1000, "deadline": 2000, "effect": "safe"}},
                     {"kind": "limit", "name": "ceilings.maxRetryAfter", "value": 500},
                 ]
             },
--- a/tests/test_control_settings.py
+++ b/tests/test_control_settings.py
@@ -37,8 +37,10 @@
             (put("class", "c", aim=1), "deadline"),
             (put("class", "c", aim=0, deadline=1), "aim"),
             (put("class", "c", aim=1, deadline=1, effect="odd"), "effect"),
-            (put("class", "c", aim=1, deadline=1, colour=1), "colour"),
-            (put("class", "c", aim=1, deadline=1, name="d"), "differs from the name"),
+            (put("class", "c", aim=1, deadline=1), "effect: missing"),
+            (put("class", "c", aim=1, deadline=1, effect="keyed"), "memorySpan: missing"),
+            (put("class", "c", aim=1, deadline=1, effect="safe", colour=1), "colour"),
+            (put("class", "c", aim=1, deadline=1, effect="safe", name="d"), "differs from the name"),
             (put("tenant", "t", quotaRps="many"), "quotaRps"),
             (put("route", "/r", **{"class": 5}), "class"),
             (limit("familyInfo.cores", 4), "each machine's own"),
@@ -146,6 +148,16 @@
         self.assertNotIn(b"extra", self.node.router_factory.names.class_indexes)
         self.assertEqual(self.core.active_classes, [0, 1, 2, 3], "its index is kept for requests in flight")
 
+    def test_a_class_without_an_effect_is_as_in_the_file(self) -> None:
+        """Older voters accept such a class; a default effect would turn a keyed class into a safe one."""
+        self.assertEqual(self.apply_change(put("class", "cadastro", aim=5, deadline=50)), "")
+        changed = self.policy.settings.request_classes[3]
+        self.assertEqual(
+            (changed.target_latency_ms, changed.effect, changed.idempotency_window_ms), (5, Effect.KEYED, 24336)
+        )
+        self.assertEqual(self.apply_change(put("class", "novo", aim=5, deadline=50)), "")
+        self.assertIs(self.policy.settings.request_classes[4].effect, Effect.SAFE, "no file knows this class")
+
     def test_a_version_that_cannot_be_applied_changes_nothing_until_a_later_one_repairs_it(self) -> None:
         too_many_classes = [put("class", f"c{n}", aim=1, deadline=2) for n in range(MAX_REQUEST_CLASSES)]
         self.assertIn("classes in this process's life", self.apply_change(put("tenant", "novo"), *too_many_classes))
