Keep a keyed request to one run when its class stops being keyed

Seen by callers: after a reload, with no key missing, that makes a keyed class `safe` or `unsafe`, a further try of a request that had run, or was queued or running, was run again; with a change of the fleet's policy once more on each node. A repeat that met a drain was refused although its key ran.

Cause: whether a try is keyed was decided by the settings of the moment it is read. The front ends dropped the key of a class that is not keyed now, and Core.submit never looked into the idempotency table, where the run's entry still stood (keys_ignored 1; safe and then keyed again, replays 1). README, Guarantees: "A keyed request runs at most once in its window"; docs/design/crossings.md, effect changes: "the try that ran stays the key's". Its tests had the repeat come before the reload.

Change: net/routing/former_keys.py remembers what each keyed class owes when settings are replaced: its window, counted from the change, the longest of several. A try with a key that arrives within it, or whose key the table, another process's claim or this node's replica knows, is handled as keyed by core, policy and claims; Arrival carries its class then. Tries without a key go by the new effect at once. All ways end in Core.update_settings; a new process of an upgrade goes by the claim files.

--- a/lemonway/admission_policy.py
+++ b/lemonway/admission_policy.py
@@ -244,7 +244,8 @@
         return event.age_ms if is_common else max(event.age_ms, deadline_ms - event.remaining_ms)
 
     def on_arrival(self, event: Arrival) -> None:
-        settings, request_class = self.settings, self.settings.request_classes[event.class_index]
+        settings = self.settings
+        request_class = event.request_class or settings.request_classes[event.class_index]
         arrived_at_ms = self.now_ms - event.age_ms
         self.idle_connections.on_arrival(self.now_ms, event.age_ms)
         expected_work_ms = (
--- a/lemonway/interface.py
+++ b/lemonway/interface.py
@@ -174,6 +174,8 @@
     caller: int = 0
     age_ms: float = 0.0  # time since the request reached the machine
     duplicate_of: int = 0  # id of the retained request that this one duplicates; 0 = none
+    # Its class, where new settings have changed the one at ``class_index`` for others but not for it; None: that one.
+    request_class: RequestClass | None = None
 
 
 @dataclass(slots=True)
--- a/lemonway/net/ports.py
+++ b/lemonway/net/ports.py
@@ -128,6 +128,9 @@
     def ran_in_other_process(self, incoming: Incoming) -> bool:
         """Whether the try's key runs or ran in another process of this node: the try may then fail, not be refused."""
 
+    def knows_key(self, incoming: Incoming) -> bool:
+        """Whether another process or node is known to have claimed the try's key, within the claim's window."""
+
     def will_answer(self, record: Any) -> bool:
         """Whether this object, not the admission policy, answers the try. Asked at arrival and before a refusal."""
 
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -21,6 +21,7 @@
 from . import call_phase
 from .call_phase import TRANSITIONS as NEXT_CALL_PHASE
 from .call_phase import CallPhase
+from .former_keys import FormerKeyedClasses, as_keyed
 from .idempotency import IdempotencyTable
 from .readiness import Readiness
 
@@ -79,6 +80,7 @@
         self.records: dict[int, Record] = {}
         self.by_txn: dict[str, Record] = {}
         self.idempotency_table = IdempotencyTable(self.clock)
+        self.former_keyed_classes = FormerKeyedClasses(self.clock)
         self.frontend_connections: dict[FrontendConnection, None] = {}
         self.counters: Counter[str] = Counter()
         # Counts for the admin address: by name, then by class index. Lists rather than a Counter of pairs, so that an
@@ -138,9 +140,10 @@
     def submit(self, incoming: Incoming) -> int:
         """Accept a request. Return its id, or 0 if it was answered immediately."""
         self.counters["requests"] += 1
-        keyed = self.settings.request_classes[incoming.class_index].effect is Effect.KEYED
-        if incoming.idempotency_key and not keyed:
-            self.counters["keys_ignored"] += 1
+        request_class = self.settings.request_classes[incoming.class_index]
+        if incoming.idempotency_key and request_class.effect is not Effect.KEYED:
+            request_class = self._class_owed_to(incoming, request_class)
+        keyed = request_class.effect is Effect.KEYED
         if incoming.txn in self.by_txn:
             self.counters["bad_txn"] += 1
             self._send(incoming, Answer(Verdict.FAILED))
@@ -188,15 +191,11 @@
             )
             self._send(incoming, Answer(Verdict.FAILED) if has_run else self._lease_expired_answer())
             return 0
-        deadline_us = incoming.arrived_at_us + int(
-            self.settings.request_classes[incoming.class_index].deadline_ms * 1000
-        )
+        deadline_us = incoming.arrived_at_us + int(request_class.deadline_ms * 1000)
         if incoming.timeout_us:
             deadline_us = min(deadline_us, incoming.arrived_at_us + incoming.timeout_us)
         self._last_ident += 1
-        record = Record(
-            self._last_ident, incoming, max(deadline_us, now), self.settings.request_classes[incoming.class_index]
-        )
+        record = Record(self._last_ident, incoming, max(deadline_us, now), request_class)
         if keyed:
             record.original_try = self.idempotency_table.register(
                 incoming.idempotency_key, incoming.arrived_at_us, record.ident, incoming.body
@@ -207,6 +206,22 @@
             self._inbox.append(record)
         return record.ident
 
+    def _class_owed_to(self, incoming: Incoming, request_class: RequestClass) -> RequestClass:
+        """The class to apply to a try that has an idempotency key though its class is not keyed now. The request may
+        have arrived, and run, while its class was keyed: then a further try must not run it again."""
+        arrived_at_us = min(incoming.arrived_at_us, self.clock.now_us)
+        window_ms = self.former_keyed_classes.owed_window_ms(incoming.class_index, arrived_at_us)
+        if window_ms is None:
+            key_is_known = self.idempotency_table.has_live(incoming.idempotency_key, arrived_at_us) or (
+                self.keyed_run_control is not None and self.keyed_run_control.knows_key(incoming)
+            )
+            if not key_is_known:
+                self.counters["keys_ignored"] += 1
+                return request_class
+            window_ms = 0.0  # its entry or claim has an end of its own
+        self.counters["keys_still_owed"] += 1
+        return as_keyed(request_class, window_ms)
+
     def abandon(self, ident: int) -> None:
         """The caller no longer waits: no answer is sent; idempotency entries stay."""
         record = self.records.get(ident)
@@ -512,6 +527,7 @@
 
     def update_settings(self, settings: Settings, active_classes: list[int]) -> None:
         """Apply new settings (``settings.merge_settings``). Requests in flight keep their class and deadline."""
+        self.former_keyed_classes.settings_replaced(self.settings)
         self.settings, self.active_classes = settings, active_classes
         # A key that ran is kept for the longer of the two windows, since duplicates may arrive within either.
         self.idempotency_table.extend_windows(
@@ -645,7 +661,7 @@
     def _arrival(self, record: Record) -> api.Arrival:
         incoming = record.incoming
         remaining_ms = max(0.001, (record.deadline_us - self.clock.now_us) / 1000) if incoming.timeout_us else None
-        return api.Arrival(
+        arrival = api.Arrival(
             record.ident,
             incoming.class_index,
             incoming.tenant,
@@ -660,6 +676,9 @@
             duplicate_of=record.original_try,
             write=record.request_class.effect is not Effect.SAFE,
         )
+        if record.request_class is not self.settings.request_classes[incoming.class_index]:
+            arrival.request_class = record.request_class
+        return arrival
 
     def _run_maintenance(self) -> None:
         self.turns.call_after(MAINTENANCE_INTERVAL_US, self._run_maintenance)
--- a/lemonway/net/routing/idempotency.py
+++ b/lemonway/net/routing/idempotency.py
@@ -54,6 +54,10 @@
             else entry
         )
 
+    def has_live(self, idempotency_key: str, arrived_at_us: int) -> bool:
+        """Whether a try that arrives at this time repeats a request that the table has."""
+        return self._find_live(idempotency_key, arrived_at_us) is not None
+
     def conflicts(self, idempotency_key: str, arrived_at_us: int, body: bytes) -> bool:
         """Whether the key belongs to a request with another body; all tries of one request have the same body."""
         entry = self._find_live(idempotency_key, arrived_at_us)
--- a/lemonway/net/routing/process_keys.py
+++ b/lemonway/net/routing/process_keys.py
@@ -54,6 +54,9 @@
     def ran_in_other_process(self, incoming: Incoming) -> bool:
         return self._find_other_run(incoming) is not None
 
+    def knows_key(self, incoming: Incoming) -> bool:
+        return self._find_other_run(incoming) is not None
+
     def will_answer(self, record: Record) -> bool:
         """Whether the try's key runs in the other process; this module then answers the try."""
         if record.request_class.effect is not Effect.KEYED or record.ident in self.claimed:
--- a/lemonway/net/routing/replicated.py
+++ b/lemonway/net/routing/replicated.py
@@ -116,6 +116,9 @@
         # A run of the key elsewhere is on another node: a refusal is allowed, and required while its result is unknown.
         return False
 
+    def knows_key(self, incoming: Incoming) -> bool:
+        return self.replica.claims.find_chosen(self._key_of(incoming)) is not None
+
     def will_answer(self, record: Record) -> bool:
         return False  # a try waits for another node's run only after its admission
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -46,6 +46,7 @@
     "lemonway.net.routing",
     "lemonway.net.routing.call_phase",
     "lemonway.net.routing.core",
+    "lemonway.net.routing.former_keys",
     "lemonway.net.routing.idempotency",
     "lemonway.net.routing.readiness",
     "lemonway.net.transport",
