Answer a try that is turned away at its arrival in one place

Cause: Core.submit worked out three times, in three conditions, whether a try that it turns away may be refused or has to fail since its key ran in another process of the node.

Change: _turn_away does. Behaviour stays: where the draining and lease conditions hold, the key has not run here.

--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -154,11 +154,7 @@
             keyed and not has_run and self.idempotency_table.size_bytes >= self.max_idempotency_bytes
         ):
             self.counters["table_full"] += 1
-            has_run = has_run or (
-                keyed and self.keyed_run_control is not None and self.keyed_run_control.ran_in_other_process(incoming)
-            )
-            # A request whose key has run must not be refused.
-            self._send(incoming, Answer(Verdict.FAILED if has_run else Verdict.REFUSED))
+            self._turn_away(incoming, keyed, Answer(Verdict.REFUSED))
             return 0
         now = self.clock.now_us
         incoming.arrived_at_us = min(incoming.arrived_at_us, now)
@@ -178,18 +174,12 @@
         if self.draining and self.policy is None and not has_run:
             # Terminated before the pool was bound: this process makes no decisions and starts no runs.
             self.counters["refused_unbound"] += 1
-            has_run = (
-                keyed and self.keyed_run_control is not None and self.keyed_run_control.ran_in_other_process(incoming)
-            )
-            self._send(incoming, Answer(Verdict.FAILED if has_run else Verdict.REFUSED))
+            self._turn_away(incoming, keyed, Answer(Verdict.REFUSED))
             return 0
         if self.readiness.lease_expired and not has_run:
             # The lease has expired: the policy in force is unknown, and an outdated one must not decide.
             self.counters["refused_lapsed"] += 1
-            has_run = (
-                keyed and self.keyed_run_control is not None and self.keyed_run_control.ran_in_other_process(incoming)
-            )
-            self._send(incoming, Answer(Verdict.FAILED) if has_run else self._lease_expired_answer())
+            self._turn_away(incoming, keyed, self._lease_expired_answer())
             return 0
         deadline_us = incoming.arrived_at_us + int(request_class.deadline_ms * 1000)
         if incoming.timeout_us:
@@ -206,6 +196,15 @@
             self._inbox.append(record)
         return record.ident
 
+    def _turn_away(self, incoming: Incoming, keyed: bool, refusal: Answer) -> None:
+        """Answer a try that is not accepted. One whose key has run, here or in another process of this node, fails:
+        it must not be refused."""
+        has_run = keyed and (
+            bool(self.idempotency_table.executed_try(incoming.idempotency_key))
+            or (self.keyed_run_control is not None and self.keyed_run_control.ran_in_other_process(incoming))
+        )
+        self._send(incoming, Answer(Verdict.FAILED) if has_run else refusal)
+
     def _class_owed_to(self, incoming: Incoming, request_class: RequestClass) -> RequestClass:
         """The class to apply to a try that has an idempotency key though its class is not keyed now. The request may
         have arrived, and run, while its class was keyed: then a further try must not run it again."""
