Call the event loop of a node event_loop everywhere

Cause: the class is EventLoop since the renames to standard terms, but most constructors and members still called it `turns`, beside `event_loop` in the connections and the node.

Change: one name in lemonway, benchmarks and tests; no behaviour, option or printed text changes (`--turns` of the benchmarks counts rounds and stays).

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -68,9 +68,9 @@
     def __init__(self, tenants: int, folder: str) -> None:
         self.raw = site_settings()
         own = read_checked_settings(self.raw)
-        self.turns = EventLoop(IdleReactor(), Clock())
+        self.event_loop = EventLoop(IdleReactor(), Clock())
         self.layered = LayeredSettings(self.raw, own)
-        self.core = Core(self.layered.settings, 1, self.turns, 1000, 1 << 20)
+        self.core = Core(self.layered.settings, 1, self.event_loop, 1000, 1 << 20)
         self.core.policy = Policy(self.core.settings, 1)
         self.in_force = TableApplier(self.core, self.layered, self.core.validate_settings, self.adopt)
         table = Table()
@@ -88,8 +88,8 @@
             StoredConfiguration(1, STORED_DIGEST, table),
         )
         self.load_ms = (time.perf_counter() - begun) * MILLISECONDS
-        self.state = TableFile(f"{folder}/state", self.turns, lambda: self.agent.table, Counter())
-        self.driver = AgentDriver(self.turns, self.agent, NoLink(), store=NodeStore(self.state))
+        self.state = TableFile(f"{folder}/state", self.event_loop, lambda: self.agent.table, Counter())
+        self.driver = AgentDriver(self.event_loop, self.agent, NoLink(), store=NodeStore(self.state))
         self.driver.start()
         self.driver.link_connected()
 
--- a/benchmarks/reading.py
+++ b/benchmarks/reading.py
@@ -80,7 +80,7 @@
 
     settings = read_settings(flatten(site_settings()))
     reactor, desk = Reactor(), Desk(settings)
-    turns = EventLoop(reactor, Clock())
+    event_loop = EventLoop(reactor, Clock())
     names, best = NameLookup.from_settings(settings), float("inf")
     stretches = []
     for first in range(1, BATCH + 1, together):
@@ -89,7 +89,7 @@
         stretches.append([data[at : at + size] for at in range(0, len(data), size)])
     for _ in range(ROUNDS):
         desk.taken = 0
-        connection = RouterConnection(turns, desk, names)
+        connection = RouterConnection(event_loop, desk, names)
         connection.transport = Transport()
         connection.connectionMade()
         begun = time.process_time_ns()
--- a/benchmarks/whole.py
+++ b/benchmarks/whole.py
@@ -20,7 +20,7 @@
 
 
 class Meter:
-    """Adds up what the node takes: in what its connections read, and in the ends of its turns."""
+    """Adds up what the node takes: in what its connections read, and in the ends of its event-loop iterations."""
 
     def __init__(self, stage: Stage) -> None:
         self.spent, self._stage = 0, stage
@@ -36,9 +36,9 @@
             hand(pipe, data)
             self.spent += clock() - begun
 
-        def timed_end(turns: EventLoop) -> None:
+        def timed_end(event_loop: EventLoop) -> None:
             begun = clock()
-            end(turns)
+            end(event_loop)
             self.spent += clock() - begun
 
         pipes.Endpoint._hand, EventLoop._end_iteration = timed_hand, timed_end  # type: ignore[method-assign,assignment]
--- a/lemonway/kit/emulator/day.py
+++ b/lemonway/kit/emulator/day.py
@@ -225,7 +225,7 @@
         """Add the counters of an incarnation to those of its tier, and retain its tries if asked to."""
         tier = int(incarnation.name not in self.tiers[0])
         self.tier_counters[tier].update(incarnation.core.counters)
-        self.tier_counters[tier]["loop_faults"] += incarnation.turns.exception_count
+        self.tier_counters[tier]["loop_faults"] += incarnation.event_loop.exception_count
         if self.keep:
             self.all_tries.extend(incarnation.tries_by_txn.values())
 
--- a/lemonway/kit/emulator/membership/policy.py
+++ b/lemonway/kit/emulator/membership/policy.py
@@ -87,7 +87,7 @@
     def join(self, life: EmulatedIncarnation, number: int) -> None:
         member = self.members[life.name] = Member(self, life, number)
         self.history.lease_us = max(self.history.lease_us, member.epochs.lease_us)
-        life.turns.begin_iteration()
+        life.event_loop.begin_iteration()
         member.start()
 
     def on_ended(self, life: EmulatedIncarnation) -> None:
@@ -110,7 +110,7 @@
     def _deliver(self, name: str, number: int, receiver: str, message: Any) -> None:
         member = self.members.get(receiver)
         if member is not None and not member.life.dead:
-            member.life.turns.begin_iteration()
+            member.life.event_loop.begin_iteration()
             member.receive(name, number, message)
 
     def partition(self, names: Sequence[str], length: int) -> None:
@@ -121,7 +121,7 @@
         member = self.members.get(name)
         if member is None or member.life.dead or member.life.draining or member.core.readiness.lease_expired:
             return ""
-        member.life.turns.begin_iteration()
+        member.life.event_loop.begin_iteration()
         try:
             ident = member.propose(settings.encode())
         except ProposalInProgress as error:
--- a/lemonway/kit/emulator/node.py
+++ b/lemonway/kit/emulator/node.py
@@ -133,13 +133,13 @@
     def _ended(self, ident: int, number: int, outcome: Outcome, body: bytes) -> None:
         if self.open.get(ident) == number and not self.incarnation.dead:
             del self.open[ident]
-            self.incarnation.turns.begin_iteration()
+            self.incarnation.event_loop.begin_iteration()
             self.incarnation.core.call_ended(ident, outcome, body)
 
     def _not_awaited(self, ident: int, number: int) -> None:
         if self.open.get(ident) == number and not self.incarnation.dead:
             del self.open[ident]
-            self.incarnation.turns.begin_iteration()
+            self.incarnation.event_loop.begin_iteration()
             self.incarnation.core.call_not_awaited(ident)
 
     def cancel(self, ident: int) -> None:
@@ -192,7 +192,7 @@
         self.unanswered: dict[int, Try] = {}  # arrived and not answered, by tag
         self.links: dict[int, RouterLink] = {}
         self.by_tag: dict[int, Try] = {}
-        self.turns: EventLoop
+        self.event_loop: EventLoop
         self.core: Core
         self.calls: Calls | None = None
         machine.start(cold)
@@ -213,9 +213,11 @@
 
     def _build(self, seed: int, cold: bool, extra: Any) -> None:
         """Build the node: here only its core, called directly through the interfaces of ``net.ports``."""
-        self.turns = EventLoop(self.loop, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
-        self.core = self.make_core(self.settings, seed, self.turns, self.bounds.requests, self.bounds.idempotency_bytes)
-        self.pool.events, self.pool.begin = self.core, self.turns.begin_iteration
+        self.event_loop = EventLoop(self.loop, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
+        self.core = self.make_core(
+            self.settings, seed, self.event_loop, self.bounds.requests, self.bounds.idempotency_bytes
+        )
+        self.pool.events, self.pool.begin = self.core, self.event_loop.begin_iteration
         self.core.pool = self.pool
         self.core.announcer = Announcer(self, self.service)
         router = extra.get(self.name) if extra else None
@@ -223,7 +225,7 @@
             self.calls = self.core.backend = Calls(self, router, self.next_number)
 
     def start(self) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.core.start()
         self.pool.link()
 
@@ -257,7 +259,7 @@
     def _submit(self, link: RouterLink, attempt: Try) -> None:
         """Submit a request that has been read to the node."""
         request = attempt.request
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         attempt.core_id = self.core.submit(
             Incoming(
                 link,
@@ -293,7 +295,7 @@
         self._check(self.links.get(router.number) or self._open(router, delay), tag)
 
     def _check(self, link: RouterLink, tag: int) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.core.check(link, tag, False)
 
     def _open(self, router: Router, delay: int) -> RouterLink:
@@ -339,7 +341,7 @@
         self.loop.after(stop_us, self.end, "stopped")
 
     def _drain(self, stop_us: int) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.core.drain(stop_us / 1000)
         self.loop.after(min(int(self.settings.drain_grace_ms * 1000), stop_us), self._close_listener)
 
@@ -365,7 +367,7 @@
         if self.dead:
             return
         self.dead, self.accepting = True, False
-        self.turns.stop()
+        self.event_loop.stop()
         self.pool.kill()
         self.machine.stop()
         self.audit.stopped(self.record, self.loop.now, reason)
@@ -401,7 +403,7 @@
             self.reset(link)
 
     def reset(self, link: RouterLink) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         for attempt in [
             attempt
             for attempt in self.unanswered.values()
--- a/lemonway/kit/emulator/wire/incarnation.py
+++ b/lemonway/kit/emulator/wire/incarnation.py
@@ -52,7 +52,7 @@
         self.node = Node(config, reactor, None, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
         if self.make_core is not Core:
             raise ValueError("make_core is only supported with the fidelity core")
-        self.core, self.turns = self.node.core, self.node.event_loop
+        self.core, self.event_loop = self.node.core, self.node.event_loop
         self.pool_end = PoolEnd(self.pool, self.uniform, self.wire.repeat, self.wire.chatter)
         self.pool_listener = self.plumbing.listen((f"pool/{self.name}", PORT), self.pool_end, self)
         if router is not None:
@@ -60,7 +60,7 @@
             self.proxy_listener = self.plumbing.listen((f"catalogue/{self.name}", PORT), proxy, self)
 
     def start(self) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.node.listen()
         self.node.start()
 
@@ -139,7 +139,7 @@
             self.proxy_listener.stopListening()
             catalogue = Address(f"catalogue/{self.name}/{self.address_changes}", PORT)
             self.proxy_listener = self.plumbing.listen((catalogue.host, catalogue.port), self.calls, self)
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.node.apply_config(replace(config, pool=address, backend=catalogue))
 
     # shutdown
--- a/lemonway/kit/live/life.py
+++ b/lemonway/kit/live/life.py
@@ -157,7 +157,7 @@
         self.seed, self.cold = seed, cold
         self.address = self.host.address(self.name)
         self.machine.key_count = lambda: 0  # a real node keeps key records in its own memory (PROTOCOL)
-        self.turns = EventLoop(self.loop, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
+        self.event_loop = EventLoop(self.loop, Clock(self.loop.monotonic_ns, self.loop.unix_ns))
         self.connections: dict[IngressConnection, None] = {}
         self.callers: set[int] = set()
         self.observed: Counter[str] = Counter()
--- a/lemonway/kit/scale/hollow.py
+++ b/lemonway/kit/scale/hollow.py
@@ -142,7 +142,7 @@
         self.running = True
         self.has_served = False
         self._incarnation = hollow.applied.begin(self.name, hollow.now_us())
-        self.client = WatchClient(hollow.meter, hollow.turns, hollow.addresses, hollow.counters)
+        self.client = WatchClient(hollow.meter, hollow.event_loop, hollow.addresses, hollow.counters)
         rng = random.Random(f"{hollow.job.seed}/{self.name}/{self.incarnation_count}").random
         incarnation = time.time_ns() // 1000
 
@@ -161,7 +161,7 @@
             stored,
         )
         self._agent_created = True
-        self.driver = AgentDriver(hollow.turns, self.agent, self.client)
+        self.driver = AgentDriver(hollow.event_loop, self.agent, self.client)
         self.client.events = LinkEventFilter(self, self.driver)
         self.driver.start()
 
@@ -221,7 +221,7 @@
         self, job: HollowJob, reactor: Any, send_message: Callable[[WorkerMessage], None], lag_monitor: LoopLagMonitor
     ) -> None:
         self.job, self.reactor, self.send_message, self.lag_monitor = job, reactor, send_message, lag_monitor
-        self.turns = EventLoop(reactor, Clock())
+        self.event_loop = EventLoop(reactor, Clock())
         self.counters: Counter[str] = Counter()
         self.injected_counts: Counter[str] = Counter()
         self.applied = AppliedRecords()
@@ -241,7 +241,7 @@
         return time.monotonic_ns() // 1000
 
     def _start(self, node: HollowNode, stored: StoredConfiguration | None = None) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         node.start(stored)
 
     def handle_order(self, order: Order) -> None:
@@ -271,7 +271,7 @@
         gc.freeze()
 
     def _restart(self, nodes: list[int]) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         for index in nodes:
             self.nodes[index].kill()
         for index in nodes:
--- a/lemonway/net/program/control_machine.py
+++ b/lemonway/net/program/control_machine.py
@@ -55,25 +55,25 @@
 
     def __init__(self, file: ControlMachineFile, path: str, reactor: Any) -> None:
         self.file, self.path, self.reactor = file, path, reactor
-        self.turns = EventLoop(reactor, Clock())
+        self.event_loop = EventLoop(reactor, Clock())
         self.counters: Counter[str] = Counter()
-        self.watches = WatchServer(self.turns, self.counters, max_links=file.subscribers_most + SPARE_LINKS)
-        self.upstream = WatchClient(reactor, self.turns, file.watch_addresses(), self.counters)
-        self.incarnation = self.turns.clock.to_unix_us(self.turns.clock.now_us)
+        self.watches = WatchServer(self.event_loop, self.counters, max_links=file.subscribers_most + SPARE_LINKS)
+        self.upstream = WatchClient(reactor, self.event_loop, file.watch_addresses(), self.counters)
+        self.incarnation = self.event_loop.clock.to_unix_us(self.event_loop.clock.now_us)
         self.ports: list[Any] = []
         self.shutting_down = False
         self.exit_status = 0
 
     @property
     def now(self) -> int:
-        return self.turns.clock.now_us
+        return self.event_loop.clock.now_us
 
     # admin address (``protocol.admin.Desk``)
 
     @property
     def healthy(self) -> bool:
         """Whether this machine holds a lease from which it can grant leases to subscribers."""
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         return self.role.lease_remaining_us(self.now) > 0
 
     def begin_drain(self) -> None:
@@ -92,7 +92,7 @@
 
     def status(self) -> dict[str, Any]:
         """The status that ``GET /control`` returns."""
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         status_fields: dict[str, Any] = plain(self.role.status(self.now))
         return status_fields | {
             "role": self.role_name,
@@ -184,7 +184,7 @@
         if self.shutting_down:
             return
         self.shutting_down = True
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         log.info("%s is shutting down", self.file.name)
         self.driver.stop()
         for port in self.ports:
@@ -220,11 +220,11 @@
             random.random,
             self.counters,
         )
-        self.driver = PublisherDriver(self.turns, self.role, self.upstream, self.watches)
+        self.driver = PublisherDriver(self.event_loop, self.role, self.upstream, self.watches)
         self.watches.events = self.upstream.events = self.driver
 
     def start(self) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.driver.apply_outputs(self.role.start(self.now))
 
 
@@ -239,7 +239,7 @@
         self.store = self._open_store()
         self.mesh = Mesh(
             reactor,
-            self.turns,
+            self.event_loop,
             file.name,
             self.incarnation,
             len(file.voters),
@@ -251,7 +251,7 @@
         )
         self.role: Voter = self._voter()
         self.driver = PublisherDriver(
-            self.turns,
+            self.event_loop,
             self.role,
             self.upstream,
             self.watches,
@@ -276,7 +276,7 @@
         except OSError as error:
             raise ConfigError(f"--file: {self.path}: disk: {self.file.disk}: {error.strerror}") from None
         table = TableFile(
-            os.path.join(self.file.disk, TABLE_FILE), self.turns, self._current_table, self.counters, durable=True
+            os.path.join(self.file.disk, TABLE_FILE), self.event_loop, self._current_table, self.counters, durable=True
         )
         return VoterStore(table, StateFile(os.path.join(self.file.disk, VOTE_FILE)))
 
@@ -326,7 +326,7 @@
         self._listen("vote", host, port, self.mesh, backlog=64)
 
     def start(self) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.mesh.start()
         self.driver.apply_outputs([])
 
@@ -347,12 +347,12 @@
         return 200, to_json({"history": self.role.history()})
 
     def _propose(self, body: bytes) -> tuple[int, bytes]:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         try:
             operations = read_change(body)
             if reason := invalid_reason(operations):
                 return 400, to_json({"error": reason})
-            proposed_at_ms = self.turns.clock.to_unix_ms(self.now)
+            proposed_at_ms = self.event_loop.clock.to_unix_ms(self.now)
             proposal_id, outputs = self.role.propose(operations, proposed_at_ms, self.now)
         except QueueFull as error:
             return 409, to_json({"error": str(error)})
@@ -362,8 +362,8 @@
         return 202, to_json({"proposal": proposal_id, "outcome": self.role.outcomes.get(proposal_id)})
 
     def _abort(self, body: bytes) -> tuple[int, bytes]:
-        self.turns.begin_iteration()
-        action, outputs = self.role.abort(self.turns.clock.to_unix_ms(self.now), self.now)
+        self.event_loop.begin_iteration()
+        action, outputs = self.role.abort(self.event_loop.clock.to_unix_ms(self.now), self.now)
         self.driver.apply_outputs(outputs)
         if not action:
             return 409, to_json({"error": "no proposal is in progress at this voter, and none was left undecided"})
--- a/lemonway/net/program/control_store.py
+++ b/lemonway/net/program/control_store.py
@@ -33,10 +33,21 @@
     """The table in force on disk. ``durable``: each version is synced (fsync) before it counts, as a voter needs."""
 
     def __init__(
-        self, path: str, turns: EventLoop, table: Callable[[], Table], counters: Counter[str], durable: bool = False
+        self,
+        path: str,
+        event_loop: EventLoop,
+        table: Callable[[], Table],
+        counters: Counter[str],
+        durable: bool = False,
     ) -> None:
         """``table`` returns the table in force."""
-        self.path, self.turns, self.current_table, self.counters, self.durable = path, turns, table, counters, durable
+        self.path, self.event_loop, self.current_table, self.counters, self.durable = (
+            path,
+            event_loop,
+            table,
+            counters,
+            durable,
+        )
         self._file: BinaryIO | None = None
         self._appended_bytes = 0  # size of the version records after the whole table
         self._compaction: Compaction | None = None
@@ -139,7 +150,7 @@
             if self._write(to_end):
                 self._finish()
             else:
-                self.target.turns.call_after(SLICE_PAUSE_US, self.run)
+                self.target.event_loop.call_after(SLICE_PAUSE_US, self.run)
         except OSError as error:
             self._finished = True
             self._remove()
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -67,8 +67,8 @@
 
     noisy = False
 
-    def __init__(self, turns: EventLoop, core: Core, bounds: Bounds) -> None:
-        self.turns, self.core, self.bounds = turns, core, bounds
+    def __init__(self, event_loop: EventLoop, core: Core, bounds: Bounds) -> None:
+        self.event_loop, self.core, self.bounds = event_loop, core, bounds
         self.names = NameLookup.from_settings(core.settings)
         self.port: LimitedPort | None = None
 
@@ -78,13 +78,13 @@
         return self.bounds.connections + self.bounds.surplus - len(self.core.frontend_connections)
 
     def buildProtocol(self, addr: Any) -> RouterConnection | None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         if len(self.core.frontend_connections) >= self.bounds.connections:
             if self.port is None and self.room() <= 0:  # an inherited socket accepts without this check
                 self.core.counters["connections_over"] += 1
                 return None
             self.shed()
-        return RouterConnection(self.turns, self.core, self.names)
+        return RouterConnection(self.event_loop, self.core, self.names)
 
     def shed(self, limit: int = 1) -> bool:
         """Make room for new connections: clients that send nothing, or half a line, or stay after one request must not
--- a/lemonway/net/protocol/backend.py
+++ b/lemonway/net/protocol/backend.py
@@ -107,13 +107,13 @@
 class BackendConnection(Connection):
     """One keep-alive connection. ``call`` is the call in flight, if any."""
 
-    def __init__(self, turns: EventLoop, client: BackendClient, endpoint: Endpoint) -> None:
-        super().__init__(turns, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES)
+    def __init__(self, event_loop: EventLoop, client: BackendClient, endpoint: Endpoint) -> None:
+        super().__init__(event_loop, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES)
         self.client, self.endpoint = client, endpoint
         self.call: Call | None = None
         self.reader = ReplyReader()
         # Time of the last use, and time from which the connection may be reused.
-        self.last_used_us = self.reusable_at_us = turns.clock.now_us
+        self.last_used_us = self.reusable_at_us = event_loop.clock.now_us
 
     def on_connected(self) -> None:
         self.client.connection_opened(self)
@@ -188,10 +188,10 @@
 
     def connect(self) -> None:
         self.connecting_count += 1
-        self.client.turns.reactor.connectTCP(self.host, self.port, self, timeout=CONNECT_TIMEOUT_S)
+        self.client.event_loop.reactor.connectTCP(self.host, self.port, self, timeout=CONNECT_TIMEOUT_S)
 
     def buildProtocol(self, addr: Any) -> BackendConnection:
-        return BackendConnection(self.client.turns, self.client, self)
+        return BackendConnection(self.client.event_loop, self.client, self)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self.connecting_count -= 1
@@ -207,7 +207,7 @@
 
     def __init__(
         self,
-        turns: EventLoop,
+        event_loop: EventLoop,
         events: CallEvents,
         host: str,
         port: int,
@@ -216,7 +216,12 @@
         ramp: Ramp | None = None,
     ) -> None:
         """``ramp``: paces calls while the backend may be cold; its state outlives connections and addresses."""
-        self.turns, self.events, self.path, self.max_connections = turns, events, path.encode(), max_connections
+        self.event_loop, self.events, self.path, self.max_connections = (
+            event_loop,
+            events,
+            path.encode(),
+            max_connections,
+        )
         self.endpoint = Endpoint(self, host, port)
         self.idle_connections: list[BackendConnection] = []
         self.calls: dict[int, Call] = {}
@@ -234,7 +239,7 @@
         if self.endpoint.closed:
             self.events.call_ended(ident, Outcome.UNREACHABLE, b"")
             return
-        call = Call(ident, txn, self.turns.clock.now_us + timeout_us, body, single_attempt)
+        call = Call(ident, txn, self.event_loop.clock.now_us + timeout_us, body, single_attempt)
         self.calls[ident] = call
         self.deadlines.add(call.deadline_us + TIMEOUT_MARGIN_US, ident)
         self._schedule_expiry()
@@ -244,7 +249,7 @@
     def dispatch(self) -> None:
         """Send queued calls on idle connections, and open connections for those that may be sent but have none."""
         waiting, self.queue = self.queue, deque()
-        now, ramp = self.turns.clock.now_us, self.ramp
+        now, ramp = self.event_loop.clock.now_us, self.ramp
         while waiting:
             call = waiting.popleft()
             if call.finished:
@@ -276,9 +281,9 @@
             self.endpoint.connect()
         if self.endpoint.connecting_count < sendable_count and self.idle_connections and not self.settle_timer_set:
             self.settle_timer_set = True
-            self.turns.call_after(SETTLE_US, self.settle_timer_fired)
+            self.event_loop.call_after(SETTLE_US, self.settle_timer_fired)
             # A settled connection was idle too long for the queued calls: it is closed to make room for a new one.
-            if self.idle_connections[0].reusable_at_us <= self.turns.clock.now_us:
+            if self.idle_connections[0].reusable_at_us <= self.event_loop.clock.now_us:
                 self.idle_connections.pop(0).close()
 
     def settle_timer_fired(self) -> None:
@@ -288,10 +293,10 @@
     def _dispatch_at(self, due: int) -> None:
         if self.pace_timer_at is None or due < self.pace_timer_at:
             self.pace_timer_at = due
-            self.turns.call_at(due, self._pace_timer_fired)
+            self.event_loop.call_at(due, self._pace_timer_fired)
 
     def _pace_timer_fired(self) -> None:
-        if self.pace_timer_at is not None and self.pace_timer_at <= self.turns.clock.now_us:
+        if self.pace_timer_at is not None and self.pace_timer_at <= self.event_loop.clock.now_us:
             self.pace_timer_at = None
             self.dispatch()
 
@@ -303,11 +308,11 @@
         if good and not ramp.paced:
             ramp.consecutive_failures = 0
         else:
-            ramp.on_call_ended(self.turns.clock.now_us, good)
+            ramp.on_call_ended(self.event_loop.clock.now_us, good)
 
     def take_idle_connection(self, single_attempt: bool) -> BackendConnection | None:
         """The most recently used idle connection that has been silent long enough, if there is one."""
-        now, idle = self.turns.clock.now_us, self.idle_connections
+        now, idle = self.event_loop.clock.now_us, self.idle_connections
         for index in range(len(idle) - 1, -1, -1):
             connection = idle[index]
             if connection.closing or connection.lost:
@@ -347,7 +352,7 @@
 
     def connection_opened(self, connection: BackendConnection) -> None:
         connection.endpoint.connecting_count -= 1
-        connection.last_used_us = connection.reusable_at_us = self.turns.clock.now_us
+        connection.last_used_us = connection.reusable_at_us = self.event_loop.clock.now_us
         if connection.endpoint.closed:
             connection.close()
             return
@@ -357,7 +362,7 @@
     def connect_failed(self, endpoint: Endpoint) -> None:
         """A connection attempt failed: the call queued the longest ends as unreachable, since it never ran. A failure
         at an address that is no longer used says nothing about the current one."""
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.connection_count -= 1
         while self.queue and not endpoint.closed:
             call = self.queue.popleft()
@@ -409,10 +414,10 @@
         first = self.deadlines.next_due_us
         if first is not None and (self.expiry_timer_at is None or first < self.expiry_timer_at):
             self.expiry_timer_at = first
-            self.turns.call_at(first, self.expire_calls)
+            self.event_loop.call_at(first, self.expire_calls)
 
     def expire_calls(self) -> None:
-        self.expiry_timer_at, now = None, self.turns.clock.now_us
+        self.expiry_timer_at, now = None, self.event_loop.clock.now_us
         for ident in self.deadlines.pop_due(now):
             call = self.calls.get(ident)  # a later call of the same request may have this identifier by now
             if call is not None and call.deadline_us + TIMEOUT_MARGIN_US <= now:
@@ -441,7 +446,7 @@
             connection.abort()
 
     def close_idle(self) -> None:
-        used_before = self.turns.clock.now_us - MAX_IDLE_US
+        used_before = self.event_loop.clock.now_us - MAX_IDLE_US
         for connection in [c for c in self.idle_connections if c.last_used_us < used_before]:
             self.idle_connections.remove(connection)
             connection.close()
--- a/lemonway/net/protocol/control.py
+++ b/lemonway/net/protocol/control.py
@@ -63,7 +63,7 @@
     """The publisher's end of a link."""
 
     def __init__(self, server: WatchServer, number: int) -> None:
-        super().__init__(server.turns, MAX_SUBSCRIBER_MESSAGE_BYTES, server.queue_bytes)
+        super().__init__(server.event_loop, MAX_SUBSCRIBER_MESSAGE_BYTES, server.queue_bytes)
         self.server, self.number = server, number
 
     def on_connected(self) -> None:
@@ -103,12 +103,12 @@
 
     def __init__(
         self,
-        turns: EventLoop,
+        event_loop: EventLoop,
         counters: Counter[str],
         queue_bytes: int = MAX_PUBLISHER_QUEUE_BYTES,
         max_links: int = MAX_LINKS,
     ) -> None:
-        self.turns, self.counters = turns, counters
+        self.event_loop, self.counters = event_loop, counters
         self.queue_bytes, self.max_links = queue_bytes, max_links
         self.links: dict[int, SubscriberLink] = {}  # those that are reported to the publisher as open
         self.connections = 0  # open connections, those being closed included
@@ -165,7 +165,7 @@
     """The subscriber's end of a link."""
 
     def __init__(self, attempt: _Attempt) -> None:
-        super().__init__(attempt.client.turns, MAX_PUBLISHER_MESSAGE_BYTES, MAX_SUBSCRIBER_QUEUE_BYTES)
+        super().__init__(attempt.client.event_loop, MAX_PUBLISHER_MESSAGE_BYTES, MAX_SUBSCRIBER_QUEUE_BYTES)
         self.attempt = attempt
 
     def on_connected(self) -> None:
@@ -208,7 +208,7 @@
         return PublisherLink(self)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.client.turns.begin_iteration()
+        self.client.event_loop.begin_iteration()
         self.disconnected()
 
     def opened(self, link: PublisherLink) -> None:
@@ -236,10 +236,10 @@
     events: SubscriberEvents
 
     def __init__(
-        self, reactor: Any, turns: EventLoop, addresses: Mapping[str, Address], counters: Counter[str]
+        self, reactor: Any, event_loop: EventLoop, addresses: Mapping[str, Address], counters: Counter[str]
     ) -> None:
         """``addresses``: the listening address of each publisher, by name."""
-        self.reactor, self.turns, self.addresses, self.counters = reactor, turns, addresses, counters
+        self.reactor, self.event_loop, self.addresses, self.counters = reactor, event_loop, addresses, counters
         self.attempt: _Attempt | None = None
 
     def dial(self, publisher: str) -> None:
@@ -248,7 +248,7 @@
         attempt = self.attempt = _Attempt(self)
         address = self.addresses.get(publisher)
         if address is None:  # the list of publishers was replaced in the meantime
-            self.turns.call_after(0, attempt.disconnected)
+            self.event_loop.call_after(0, attempt.disconnected)
             return
         attempt.connector = self.reactor.connectTCP(*address, attempt, timeout=CONNECT_TIMEOUT_S)
 
--- a/lemonway/net/protocol/framing.py
+++ b/lemonway/net/protocol/framing.py
@@ -34,9 +34,9 @@
 class FramedConnection(Connection):
     """A connection that receives whole messages. Subclasses handle them in ``message_received``."""
 
-    def __init__(self, turns: EventLoop, max_message_bytes: int, outbound_bytes: int) -> None:
+    def __init__(self, event_loop: EventLoop, max_message_bytes: int, outbound_bytes: int) -> None:
         """``max_message_bytes``: limit for one received message; ``outbound_bytes``: limit for unsent output."""
-        super().__init__(turns, max_message_bytes + LENGTH_PREFIX_BYTES + MAX_READ_BYTES, outbound_bytes)
+        super().__init__(event_loop, max_message_bytes + LENGTH_PREFIX_BYTES + MAX_READ_BYTES, outbound_bytes)
         self.max_message_bytes = max_message_bytes
         self._reading_length = True
 
--- a/lemonway/net/protocol/peers.py
+++ b/lemonway/net/protocol/peers.py
@@ -45,7 +45,7 @@
     """A connection opened by a peer; this end only receives."""
 
     def __init__(self, mesh: Mesh) -> None:
-        super().__init__(mesh.turns, MAX_MESSAGE_BYTES, 1024)
+        super().__init__(mesh.event_loop, MAX_MESSAGE_BYTES, 1024)
         self.mesh = mesh
         self.peer, self.incarnation, self.epoch = "", 0, 0
 
@@ -99,7 +99,7 @@
     """A connection opened by this node; the peer only receives."""
 
     def __init__(self, link: Link) -> None:
-        super().__init__(link.mesh.turns, 1024, link.mesh.queue_bytes)
+        super().__init__(link.mesh.event_loop, 1024, link.mesh.queue_bytes)
         self.link = link
 
     def on_connected(self) -> None:
@@ -177,7 +177,7 @@
     def __init__(
         self,
         reactor: Any,
-        turns: EventLoop,
+        event_loop: EventLoop,
         name: str,
         incarnation: int,
         size: int,
@@ -190,7 +190,7 @@
     ) -> None:
         """``label``: the subsystem's name in the log; ``prefix``: of the counters."""
         self.label, self.prefix = label, prefix
-        self.reactor, self.turns, self.counters, self.queue_bytes = reactor, turns, counters, queue_bytes
+        self.reactor, self.event_loop, self.counters, self.queue_bytes = reactor, event_loop, counters, queue_bytes
         self.addresses = addresses
         self.hello = Hello(VERSION, name, incarnation, size, peers_hash(list(addresses)), epoch)
         self.encoded_hello = encode(self.hello)
--- a/lemonway/net/protocol/pool.py
+++ b/lemonway/net/protocol/pool.py
@@ -80,8 +80,8 @@
 class PoolConnection(Connection):
     """One TCP connection of the link. Notices already read on an earlier connection are skipped by sequence number."""
 
-    def __init__(self, turns: EventLoop, link: PoolLink, address: tuple[str, int]) -> None:
-        super().__init__(turns, INBOUND_BUFFER_BYTES, link.outbound_bytes)
+    def __init__(self, event_loop: EventLoop, link: PoolLink, address: tuple[str, int]) -> None:
+        super().__init__(event_loop, INBOUND_BUFFER_BYTES, link.outbound_bytes)
         self.link, self.address = link, address
         self.notice: Notice | None = None
         self.bound = False
@@ -124,9 +124,15 @@
 
     noisy = False
 
-    def __init__(self, turns: EventLoop, events: PoolEvents, host: str, port: int, outbound_bytes: int) -> None:
+    def __init__(self, event_loop: EventLoop, events: PoolEvents, host: str, port: int, outbound_bytes: int) -> None:
         """``outbound_bytes``: limit for the commands that wait for a stalled pool; beyond it the link reconnects."""
-        self.turns, self.events, self.host, self.port, self.outbound_bytes = turns, events, host, port, outbound_bytes
+        self.event_loop, self.events, self.host, self.port, self.outbound_bytes = (
+            event_loop,
+            events,
+            host,
+            port,
+            outbound_bytes,
+        )
         self.last_sequence = 0  # sequence number of the last notice read
         self.current: PoolConnection | None = None
         self.bound_before = self.stopped = False
@@ -136,7 +142,7 @@
         """Connects, unless an attempt is in progress or the current connection is to the configured address."""
         already_connected = self.current is not None and self.current.address == (self.host, self.port)
         if not (self.stopped or already_connected) and self.connector is None:
-            self.connector = self.turns.reactor.connectTCP(self.host, self.port, self, timeout=None)
+            self.connector = self.event_loop.reactor.connectTCP(self.host, self.port, self, timeout=None)
 
     def stop(self) -> None:
         self.stopped = True
@@ -159,7 +165,7 @@
     def buildProtocol(self, addr: Any) -> PoolConnection:
         self.connector = None
         # A change of address cancels the attempt in progress, so this connection is to the configured address.
-        previous, self.current = self.current, PoolConnection(self.turns, self, (self.host, self.port))
+        previous, self.current = self.current, PoolConnection(self.event_loop, self, (self.host, self.port))
         if previous is not None:
             if previous.bound:
                 self.events.link_lost()
@@ -167,9 +173,9 @@
         return self.current
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         self.connector = None
-        self.turns.call_after(RECONNECT_DELAY_US, self.start)
+        self.event_loop.call_after(RECONNECT_DELAY_US, self.start)
 
     def clientConnectionLost(self, connector: Any, reason: Failure = connectionDone) -> None:
         """Nothing to do: the connection reports its loss itself, to ``connection_lost``."""
@@ -179,7 +185,7 @@
             self.current = None
             if connection.bound:
                 self.events.link_lost()
-            self.turns.call_after(RECONNECT_DELAY_US, self.start)
+            self.event_loop.call_after(RECONNECT_DELAY_US, self.start)
 
     def handle_notice(self, connection: PoolConnection, notice: Notice, body: bytes) -> None:
         if connection is not self.current:
--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -320,8 +320,8 @@
         True  # until this side's FIN is sent, a request that arrives during the close is answered as never run
     )
 
-    def __init__(self, turns: EventLoop, handler: RequestHandler, names: NameLookup) -> None:
-        super().__init__(turns, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES)
+    def __init__(self, event_loop: EventLoop, handler: RequestHandler, names: NameLookup) -> None:
+        super().__init__(event_loop, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES)
         self.handler, self.names = handler, names
         self.reader = RespReader()
         self.open_requests: dict[int, int] = {}  # tag: request id of the core (0 while it is being submitted)
@@ -331,7 +331,7 @@
         self.closes_when_done = False  # whether to check for a close after each answer; derived from intake and phase
         self.partial_since_us = 0  # arrival of the first byte of an incomplete frame; 0 = there is none
         self.no_frame_yet = True
-        self.last_used_us = turns.clock.now_us
+        self.last_used_us = event_loop.clock.now_us
         self._needed_bytes = 0  # bytes that the ring must hold before its first frame is parsed again
 
     def on_connected(self) -> None:
--- a/lemonway/net/protocol/uwsgi.py
+++ b/lemonway/net/protocol/uwsgi.py
@@ -159,11 +159,11 @@
 class UwsgiConnection(Connection):
     """Reads one packet and its body, submits the request, writes the response and closes."""
 
-    def __init__(self, turns: EventLoop, server: UwsgiServerFactory) -> None:
-        super().__init__(turns, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES)
+    def __init__(self, event_loop: EventLoop, server: UwsgiServerFactory) -> None:
+        super().__init__(event_loop, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES)
         self.server, self.handler = server, server.handler
         self.state = "head"  # head, vars and body while reading; open once submitted; over once answered
-        self.opened_at_us = turns.clock.now_us
+        self.opened_at_us = event_loop.clock.now_us
         self.request_id = 0
         self.variables: dict[str, str] = {}
         self.location: Location | None = None
@@ -326,15 +326,20 @@
 
     noisy = False
 
-    def __init__(self, turns: EventLoop, handler: RequestHandler, site: Site, max_total_connections: int) -> None:
+    def __init__(self, event_loop: EventLoop, handler: RequestHandler, site: Site, max_total_connections: int) -> None:
         """``max_total_connections``: limit for the open connections of all frontends together."""
-        self.turns, self.handler, self.site, self.max_total_connections = turns, handler, site, max_total_connections
+        self.event_loop, self.handler, self.site, self.max_total_connections = (
+            event_loop,
+            handler,
+            site,
+            max_total_connections,
+        )
         self.connections: dict[UwsgiConnection, None] = {}
         self.class_ranks = band_ranks(handler.settings)
         self._txn = secrets.randbits(64)
 
     def buildProtocol(self, addr: Any) -> UwsgiConnection | None:
-        self.turns.begin_iteration()
+        self.event_loop.begin_iteration()
         if (
             len(self.connections) >= self.site.max_connections
             or len(self.handler.frontend_connections) >= self.max_total_connections
@@ -342,7 +347,7 @@
             # Nothing has been read from the connection, so the client may safely retry on another node.
             self.handler.counters["uwsgi_over"] += 1
             return None
-        return UwsgiConnection(self.turns, self)
+        return UwsgiConnection(self.event_loop, self)
 
     def next_txn(self) -> str:
         self._txn = (self._txn + 1) % 2**64
--- a/lemonway/net/routing/configured.py
+++ b/lemonway/net/routing/configured.py
@@ -81,7 +81,7 @@
 
     def __init__(self, core: Core, agent: Agent, upstream: Upstream, store: Store | None) -> None:
         self.core, self.agent = core, agent
-        self.driver = AgentDriver(core.turns, agent, upstream, store=store, after_outputs=self.update_readiness)
+        self.driver = AgentDriver(core.event_loop, agent, upstream, store=store, after_outputs=self.update_readiness)
         core.counters["control_version"], core.counters["control_age_s"] = agent.number, 0
         core.readiness.lease_expired = True  # until the agent may serve
         core.readiness.refresh()
@@ -91,7 +91,7 @@
         self._check_readiness()
 
     def _check_readiness(self) -> None:
-        self.core.turns.call_after(READINESS_INTERVAL_US, self._check_readiness)
+        self.core.event_loop.call_after(READINESS_INTERVAL_US, self._check_readiness)
         self.update_readiness()
 
     def update_readiness(self) -> None:
@@ -117,5 +117,5 @@
 
     def status(self) -> dict[str, Any]:
         """The control status that the admin address serves."""
-        self.core.turns.begin_iteration()
+        self.core.event_loop.begin_iteration()
         return asdict(self.agent.status(self.core.clock.now_us)) | {"age_s": self.age_s()}
--- a/lemonway/net/routing/control_driver.py
+++ b/lemonway/net/routing/control_driver.py
@@ -74,20 +74,20 @@
     """The next wake-up of a role. Timers of the event loop cannot be cancelled: one that an earlier wake-up has
     replaced expires without effect."""
 
-    def __init__(self, turns: EventLoop, due: Callable[[], int], on_due: Callable[[], None]) -> None:
-        self.turns, self.due, self.on_due = turns, due, on_due
+    def __init__(self, event_loop: EventLoop, due: Callable[[], int], on_due: Callable[[], None]) -> None:
+        self.event_loop, self.due, self.on_due = event_loop, due, on_due
         self.stopped = False
         self._scheduled_for_us = NEVER
 
     def arm(self) -> None:
         """Schedules a wake-up for the time when the role is due, unless an earlier one is pending."""
-        due = max(self.due(), self.turns.clock.now_us + MIN_WAKE_DELAY_US)
+        due = max(self.due(), self.event_loop.clock.now_us + MIN_WAKE_DELAY_US)
         if due < self._scheduled_for_us and not self.stopped:
             self._scheduled_for_us = due
-            self.turns.call_at(due, self._fire)
+            self.event_loop.call_at(due, self._fire)
 
     def _fire(self) -> None:
-        if self.turns.clock.now_us >= self._scheduled_for_us and not self.stopped:
+        if self.event_loop.clock.now_us >= self._scheduled_for_us and not self.stopped:
             self._scheduled_for_us = NEVER
             self.on_due()
 
@@ -97,7 +97,7 @@
 
     def __init__(
         self,
-        turns: EventLoop,
+        event_loop: EventLoop,
         role: Any,
         upstream: Upstream | None = None,
         downstream: Downstream | None = None,
@@ -108,10 +108,10 @@
     ) -> None:
         """``after_outputs`` is called each time that outputs of the role were executed; ``on_fatal`` once, with the
         reason, if the role cannot continue: the process has to exit."""
-        self.turns, self.role, self.after_outputs, self.on_fatal = turns, role, after_outputs, on_fatal
+        self.event_loop, self.role, self.after_outputs, self.on_fatal = event_loop, role, after_outputs, on_fatal
         self.upstream, self.downstream, self.voters = upstream, downstream, voters
         self.store: Store = store or NoStore()
-        self.wake_timer = WakeTimer(turns, lambda: int(role.due), self._tick)
+        self.wake_timer = WakeTimer(event_loop, lambda: int(role.due), self._tick)
         self._persisted = True  # whether all that the present batch of outputs has asked to store so far is on disk
         self._failed = False  # the role cannot continue: no further output is executed
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -128,7 +128,7 @@
 
     @property
     def now(self) -> int:
-        return self.turns.clock.now_us
+        return self.event_loop.clock.now_us
 
     def apply_outputs(self, outputs: Iterable[Output]) -> None:
         """Executes the outputs of the role, in order."""
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -67,11 +67,11 @@
 
 class Core:
     def __init__(
-        self, settings: Settings, seed: int, turns: EventLoop, max_requests: int, max_idempotency_bytes: int
+        self, settings: Settings, seed: int, event_loop: EventLoop, max_requests: int, max_idempotency_bytes: int
     ) -> None:
         """``max_requests`` limits requests in flight, ``max_idempotency_bytes`` the keys and results stored."""
         self.max_requests, self.max_idempotency_bytes = max_requests, max_idempotency_bytes
-        self.settings, self.seed, self.turns, self.clock = settings, seed, turns, turns.clock
+        self.settings, self.seed, self.event_loop, self.clock = settings, seed, event_loop, event_loop.clock
         self.active_classes = list(range(len(settings.request_classes)))  # indexes of the request classes in force
         self.pool: WorkerPool
         self.announcer: Announcer
@@ -129,11 +129,11 @@
             api.Wake: self._wake,
             api.Log: self._log,
         }
-        turns.step = self.step
+        event_loop.step = self.step
 
     def start(self) -> None:
-        self.turns.call_after(MAINTENANCE_INTERVAL_US, self._run_maintenance)
-        self.turns.call_after(0, self._announce_periodically)
+        self.event_loop.call_after(MAINTENANCE_INTERVAL_US, self._run_maintenance)
+        self.event_loop.call_after(0, self._announce_periodically)
 
     # Requests from front ends
 
@@ -243,7 +243,7 @@
             token = f"c{self.counters['checks']}"
             self._pending_checks[token] = (frontend, tag)
             self.pool.verify(token)
-            self.turns.call_after(1_000_000, lambda: self.verified(token, False))
+            self.event_loop.call_after(1_000_000, lambda: self.verified(token, False))
             return
         frontend.answer_check(tag, self.healthy, self.feedback)
 
@@ -643,7 +643,7 @@
             if self.counters["brain_faults"] <= MAX_LOGGED_FAULTS:
                 log.exception("admission policy failed on %d events", len(events))
             # The lost events may include the policy's own wake-up, without which it would run no more periodic checks.
-            self.turns.call_after(MAINTENANCE_INTERVAL_US, lambda: self._inbox.append(api.Woken(1, self.gauges)))
+            self.event_loop.call_after(MAINTENANCE_INTERVAL_US, lambda: self._inbox.append(api.Woken(1, self.gauges)))
             return False
         self._apply(actions)
         self._poll_for_acknowledgement()
@@ -680,7 +680,7 @@
         return arrival
 
     def _run_maintenance(self) -> None:
-        self.turns.call_after(MAINTENANCE_INTERVAL_US, self._run_maintenance)
+        self.event_loop.call_after(MAINTENANCE_INTERVAL_US, self._run_maintenance)
         if self._maintenance_runs % 40 == 0:  # about once a second
             self.idempotency_table.purge_expired()
             # Deadlines before this time: the end of the run is no longer expected.
@@ -693,7 +693,7 @@
 
     def _announce_periodically(self) -> None:
         self.clock.sync_unix_offset()
-        self.turns.call_after(ANNOUNCE_INTERVAL_US, self._announce_periodically)
+        self.event_loop.call_after(ANNOUNCE_INTERVAL_US, self._announce_periodically)
         self.report()
 
     def report(self) -> None:
@@ -825,7 +825,7 @@
         self.idle_ttl_us = int(action.ttl_ms * 1000) or int(self.settings.caller_idle_ms * 1000)
 
     def _wake(self, action: api.Wake) -> None:
-        self.turns.call_at(int(action.at_ms * 1000), lambda: self._poll_before_wake(action.token))
+        self.event_loop.call_at(int(action.at_ms * 1000), lambda: self._poll_before_wake(action.token))
 
     def _log(self, action: api.Log) -> None:
         log.info("%s", action.text)
@@ -838,7 +838,7 @@
             self._deliver_wake(token)
             return
         poll_number = self._wake_poll = self._poll()
-        self.turns.call_after(
+        self.event_loop.call_after(
             POLL_TIMEOUT_US, lambda: self._deliver_wake(token if poll_number == self._wake_poll else None)
         )
 
--- a/lemonway/net/routing/governed.py
+++ b/lemonway/net/routing/governed.py
@@ -40,7 +40,7 @@
         core.counters["policy_epoch"] = 0
 
     def start(self) -> None:
-        self.core.turns.call_after(0, self._tick)
+        self.core.event_loop.call_after(0, self._tick)
 
     @property
     def now_us(self) -> int:
@@ -117,7 +117,7 @@
             self._switch_epoch(self.epochs.committed)
 
     def _tick(self) -> None:
-        self.core.turns.call_after(TICK_INTERVAL_US, self._tick)
+        self.core.event_loop.call_after(TICK_INTERVAL_US, self._tick)
         self.apply_outputs(self.epochs.tick(self.now_us))
         self._update_readiness()
 
--- a/lemonway/net/routing/process_keys.py
+++ b/lemonway/net/routing/process_keys.py
@@ -36,7 +36,7 @@
         core.keyed_run_control = self
 
     def start(self) -> None:
-        self.core.turns.call_after(PURGE_INTERVAL_US, self._purge)
+        self.core.event_loop.call_after(PURGE_INTERVAL_US, self._purge)
 
     def _find_other_run(self, incoming: Incoming) -> OtherProcessRun | None:
         """The other process's run of this try's key, if the try arrived within the idempotency window of that run."""
@@ -69,7 +69,7 @@
             self.waiting[record.ident] = record
             if not self._poll_scheduled:
                 self._poll_scheduled = True
-                self.core.turns.call_after(POLL_INTERVAL_US, self._poll_results)
+                self.core.event_loop.call_after(POLL_INTERVAL_US, self._poll_results)
         return True
 
     def may_run(self, record: Record) -> bool:
@@ -137,11 +137,11 @@
                 core.answer_without_run(record, answer)
         self._poll_scheduled = bool(self.waiting)
         if self._poll_scheduled:
-            core.turns.call_after(POLL_INTERVAL_US, self._poll_results)
+            core.event_loop.call_after(POLL_INTERVAL_US, self._poll_results)
 
     def _purge(self) -> None:
         core = self.core
-        core.turns.call_after(PURGE_INTERVAL_US, self._purge)
+        core.event_loop.call_after(PURGE_INTERVAL_US, self._purge)
         self.store.purge(core.clock.to_unix_us(core.clock.now_us))
         self._purges += 1
         if self._purges % PURGES_PER_SWEEP == 0:
--- a/lemonway/net/routing/replicated.py
+++ b/lemonway/net/routing/replicated.py
@@ -86,7 +86,7 @@
         core.keyed_run_control = self
 
     def start(self) -> None:
-        self.core.turns.call_after(0, self._tick)
+        self.core.event_loop.call_after(0, self._tick)
 
     @property
     def now_unix_us(self) -> int:
@@ -300,7 +300,7 @@
     # timers
 
     def _tick(self) -> None:
-        self.core.turns.call_after(TICK_INTERVAL_US, self._tick)
+        self.core.event_loop.call_after(TICK_INTERVAL_US, self._tick)
         self.replica.set_ready(self.core.healthy)
         self.apply_outputs(self.replica.tick(self.now_unix_us))
         now_us = self.core.clock.now_us
--- a/lemonway/net/transport/connection.py
+++ b/lemonway/net/transport/connection.py
@@ -137,9 +137,9 @@
     MAX_LENGTH = 1024
     transport: Any  # Twisted declares it with zope interfaces, which mypy reads only with their plugin
 
-    def __init__(self, turns: EventLoop, inbound: int, outbound: int) -> None:
+    def __init__(self, event_loop: EventLoop, inbound: int, outbound: int) -> None:
         """``inbound`` and ``outbound``: the limits of the two buffers in bytes."""
-        self.event_loop = turns
+        self.event_loop = event_loop
         self.inbound, self.outbound = RingBuffer(inbound), RingBuffer(outbound)
         self.phase = OPEN
         # Derived from the phase and stored as plain fields, since each request reads them.
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -88,10 +88,10 @@
 class WatchLinks(unittest.TestCase):
     def setUp(self) -> None:
         self.reactor: Any = selectreactor.SelectReactor()
-        self.turns = EventLoop(self.reactor, Clock())
+        self.event_loop = EventLoop(self.reactor, Clock())
         self.counters: Counter[str] = Counter()
         self.publisher = RecordingPublisher()
-        self.server = WatchServer(self.turns, self.counters, queue_bytes=64 * 1024, max_links=4)
+        self.server = WatchServer(self.event_loop, self.counters, queue_bytes=64 * 1024, max_links=4)
         self.server.events = self.publisher
         self.port = self.reactor.listenTCP(0, self.server, interface="127.0.0.1")
         self.address = ("127.0.0.1", self.port.getHost().port)
@@ -115,7 +115,7 @@
     def watch(self) -> tuple[WatchClient, RecordingSubscriber]:
         """A connected subscriber that has identified itself."""
         client, subscriber = (
-            WatchClient(self.reactor, self.turns, {"r1": self.address}, self.counters),
+            WatchClient(self.reactor, self.event_loop, {"r1": self.address}, self.counters),
             RecordingSubscriber(),
         )
         client.events = subscriber
@@ -501,13 +501,13 @@
         self.addCleanup(folder.cleanup)
         self.path = str(Path(folder.name) / "state")
         self.timers: list[Callable[[], None]] = []
-        self.turns: Any = unittest.mock.Mock()
-        self.turns.call_after = lambda delay, call: self.timers.append(call)
+        self.event_loop: Any = unittest.mock.Mock()
+        self.event_loop.call_after = lambda delay, call: self.timers.append(call)
         self.replica = Replica(1 << 30)
         self.counters: Counter[str] = Counter()
 
     def file(self, durable: bool = False) -> TableFile:
-        return TableFile(self.path, self.turns, lambda: self.replica.table, self.counters, durable)
+        return TableFile(self.path, self.event_loop, lambda: self.replica.table, self.counters, durable)
 
     def store_version(self, file: TableFile, number: int, size: int = 10) -> bool:
         operations = (Put("tenant", f"t{number}", b'{"name":"%s"}' % (b"x" * size)),)
--- a/tests/test_governed.py
+++ b/tests/test_governed.py
@@ -112,7 +112,7 @@
         self.assertEqual((harness.node.core.counters["lapses"], harness.node.core.counters["refused_lapsed"]), (1, 3))
 
     def test_a_request_read_in_the_event_loop_iteration_in_which_the_lease_expires_is_refused(self) -> None:
-        core, turns = self.harness.node.core, self.harness.node.event_loop
+        core, event_loop = self.harness.node.core, self.harness.node.event_loop
         policy = core.policy
         assert policy is not None
         submit = core.submit
@@ -120,7 +120,7 @@
         def submit_then_expire(incoming: Any) -> int:
             request_id = submit(incoming)
             # Timers run after input and before the core's step.
-            turns.call_at(turns.clock.now_us, lambda: core.set_lease_expired(True))
+            event_loop.call_at(event_loop.clock.now_us, lambda: core.set_lease_expired(True))
             return request_id
 
         with mock.patch.object(core, "submit", submit_then_expire):
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -61,7 +61,7 @@
     def close(self) -> None:
         for mesh in self.meshes:
             mesh.stop()
-            mesh.turns.stop()
+            mesh.event_loop.stop()
         for port in self.ports:
             port.stopListening()
         for _ in range(5):
--- a/tests/test_upgrade_keys.py
+++ b/tests/test_upgrade_keys.py
@@ -127,7 +127,7 @@
         ident = next(iter(core.records))
         self.assertEqual(self.answer_to(self.ask(self.old))[0], "RESULT")
         core._action_handlers[api.Admit] = admit_handler
-        core.turns.begin_iteration()
+        core.event_loop.begin_iteration()
         core._refuse(api.Refuse(ident))
         self.assertEqual(self.answer_to(second), ("RESULT", b"cadastro|entry"))
         self.assertEqual(core.counters["refused"], 0)
