Wait for the lost votes before a test of the fleet's policy cuts its links

Seen: test_a_partition_in_the_middle_of_a_commit failed once in make check on the text as found, beside other work: mark1 not served by n3 to n5 within 30 s.

Cause, in the test: it cut the links as soon as the proposer said `deciding`, which it says as it sends its requests for votes. On a busy machine the cut came before these had arrived, so the three nodes knew of no change, and rightly served none. The test of a proposer killed after a majority has accepted waited 0.1 s for the same.

Change: both wait until each of the nodes has voted and its vote was dropped on a link, which is what they say they test. Checks and bounds are unchanged; the fixed wait is gone.

--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -80,6 +80,15 @@
         """Wait until every live node has accepted the change and its epoch number is being decided."""
         fleet.wait_until(lambda: not fleet.is_settled(proposal) and proposal.state == "deciding", step=0.02)
 
+    def wait_for_lost_votes(self, fleet: PolicyFleet, *names: str) -> None:
+        """Wait until each of these nodes has voted and its vote was dropped on a link."""
+
+        def lost(name: str) -> bool:
+            links = [proxy for (sender, _), proxy in fleet.net.proxies.items() if sender == name]
+            return any(proxy.rules.counts.get("dropped", 0) for proxy in links)
+
+        fleet.wait_until(lambda: all(map(lost, names)), step=0.02)
+
     def finish_and_check(self, fleet: PolicyFleet) -> None:
         self.assertEqual(fleet.finish(), [])
 
@@ -116,7 +125,7 @@
         fleet.net.drop_kinds({"n2", "n3"}, {b"eaccd"})  # they vote, but their votes do not reach the proposer
         proposal = fleet.propose("n1")
         self.deciding(fleet, proposal)
-        fleet.run_for(0.1)
+        self.wait_for_lost_votes(fleet, "n2", "n3")
         fleet.kill("n1")
         fleet.net.clear_faults()
         fleet.wait_until(lambda: fleet.all_serve("mark1", ["n2", "n3"]), step=0.02)
@@ -147,6 +156,7 @@
         fleet.net.drop_kinds({"n3", "n4", "n5"}, {b"eaccd"})
         proposal = fleet.propose("n1")
         self.deciding(fleet, proposal)
+        self.wait_for_lost_votes(fleet, "n3", "n4", "n5")
         fleet.net.isolate({"n1", "n2"})  # the proposer has two votes of five; the other three were cast but lost
         fleet.net.drop_kinds({"n3", "n4", "n5"}, set())
         fleet.wait_until(lambda: fleet.all_serve("mark1", ["n3", "n4", "n5"]), step=0.02)
