Inject the scale run's faults early enough for their changes to reach the nodes

Cause, in the kit's schedule: an injection is followed by two changes, the first of which is dropped and the second shows the gap. If it is not delivered by then, the node reconnects after the kill from its own version and there is no gap to count.

Change: the last injection lies at least 2.5 s before the phase's end (full runs keep an eighth of the phase, which is longer).

--- a/lemonway/kit/scale/plan.py
+++ b/lemonway/kit/scale/plan.py
@@ -21,6 +21,9 @@
     0.2,
     0.5,
 )  # seconds; the first change gets the fault, the second one exposes a gap
+# From an injection to the end of its phase, when control goes down: its two changes have to be decided and delivered
+# before, also while a voter is down; a node that loses a version and gets the next one after a reconnect sees no gap.
+INJECTION_MARGIN_SECONDS = 2.5
 PAUSE_SECONDS = 4.0  # duration of a SIGSTOP, longer than the timeout of its subscribers
 
 
@@ -233,7 +236,8 @@
     rate = RESTARTS_PER_DAY / DAY_SECONDS * sizes.hollow / FULL_SIZE * RESTART_FACTOR
     for at in _poisson(begin, end, rate, rng):
         yield RestartNode(at, rng.randrange(sizes.hollow))
+    last_injection = end - max(part, min(INJECTION_MARGIN_SECONDS, (end - begin) / 2))
     for what in Injection:
-        at = rng.uniform(begin, end - part)
+        at = rng.uniform(begin, last_injection)
         for _ in range(NODES_PER_INJECTION):
             yield Inject(at, rng.randrange(sizes.hollow), what)
