--- a/review/7/case.py
+++ b/review/7/case.py
@@ -67,10 +67,13 @@
     if await before.answer(tag, 1.0) is None:
         raise stand.CannotRun("the new process does not serve before the notice")
     record(f"platform: health before the notice: {await before.check()}")
+    # So the process that is told to leave has work in hand as well, and stays while the routers ask it.
+    asked.append((before, before.ask("cadastro", b"long and last", os.urandom(16).hex(), cpu=2400.0)))
+    await asyncio.sleep(0.1)
     new.signal(signal.SIGTERM)
     ended_new = asyncio.ensure_future(new.end_within(STOP_MS / 1000))
     noticed_at = stand.unix_ms()
-    sent = 0
+    sent, sent_until = 0, 0
     while stand.unix_ms() < noticed_at + SENT_FOR_S * 1000:
         sent += 1
         router = stand.Router(record, f"router {sent + 1}")
@@ -80,11 +83,15 @@
             record(f"router {sent + 1}: refused")
             continue
         asked.append((router, router.ask("visualizador", b"after the notice %d" % sent)))
+        sent_until = stand.unix_ms()
+        if new.process is None or new.process.returncode is not None:
+            raise stand.CannotRun("the process has ended while the routers still ask it")
         await asyncio.sleep(0.2)
     if ended_old is not None:
         await ended_old
     await ended_new
     await asyncio.sleep(0.5)
+    record(f"the last request was sent {sent_until - noticed_at} ms after the notice")
     broken = []
     for router, tag in asked:
         if tag not in router.answers:
