--- a/review/lib_2/stand.py
+++ b/review/lib_2/stand.py
@@ -376,6 +376,7 @@
         self.record = Record(case)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.nodes: list[Node] = []
+        self.others: list[asyncio.subprocess.Process] = []
 
     def node(self, label: str, config: dict[str, Any], options: str = "", env: dict[str, str] | None = None,
              tmp: str = "") -> Node:  # fmt: skip
@@ -383,9 +384,24 @@
         self.nodes.append(node)
         return node
 
+    async def command(self, label: str, command: str) -> None:
+        """Start another of the project's programs."""
+        self.record(f"platform: start {label}: {command}")
+        with open(self.folder / f"{label}.log", "ab") as log:
+            env = {**os.environ, "TMPDIR": str(self.folder), "PYTHONDONTWRITEBYTECODE": "1"}
+            self.others.append(
+                await asyncio.create_subprocess_exec(
+                    "/bin/sh", "-c", command, cwd=ROOT, env=env, stdout=log, stderr=log
+                )
+            )
+
     async def close(self) -> None:
         for node in self.nodes:
             await node.kill()
+        for process in self.others:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
         for writer in OPEN:
             writer.close()
         await asyncio.sleep(0.05)
