--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # After the build of the deploy file: what the cases of review/6 to review/10 need besides it. Their stand-ins are plain
-# Python; --replication (9) and --control (10) need the extra `replication`, the command `lemonway control` (10) the kit.
+# Python; --control (8) and --replication (10) need the extra `replication`, the command `lemonway control` (8) the kit.
 set -e
 cd "$(dirname "$0")/.."
 if ! test -x .venv/bin/lemonway || ! .venv/bin/python -c 'import click, msgspec, xxhash; import lemonway.kit.cli'; then
