Review cases choose ports below the range of outgoing connections

Cause: in a fresh clone one run of case 10 with TROUBLE=0 ended with 2, since another connection had taken a port that it had chosen.

--- a/review/lib_2/stand.py
+++ b/review/lib_2/stand.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -34,10 +35,22 @@
     return time.time_ns() // 1_000_000
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+GIVEN: set[int] = set()  # ports that this process has chosen
+
+
+def free_port() -> int:
+    """A port below the usual range of outgoing connections, one of which could take it before its listener does."""
+    for _ in range(1000):
+        port = random.randint(10_000, 32_000)
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in GIVEN:
+            GIVEN.add(port)
+            return port
+    raise CannotRun("no free port")
 
 
 class Record:
