Turn down a reloaded file that lacks any key of the file in force

Callers: requests that a node had read got no answer when it was told to leave after a SIGHUP with a file without stop_ms.

Cause: nearly every key has a default, and at a reload the default took the place of the value in force. A missing stop_ms became 5000 where the platform kills after 3200, so the last answers were planned for 4.75 s after the notice.

Change: at SIGHUP a file needs every key of the file in force, at any depth, classes and tenants by name (net/program/completeness.py); a start needs stop_ms, limits.sockets and limits.memory_mb; a proposed change of policy needs every key of the classes and tenants that it lists. It works because no list of keys is kept: the file in force is the list. Test fixtures that had left out stop_ms or limits now have them; their assertions are unchanged.

--- a/lemonway/kit/stage.py
+++ b/lemonway/kit/stage.py
@@ -18,6 +18,7 @@
 from .pool import Plan, StandInPool
 from .tally import Tally
 
+LIMITS: dict[str, Any] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # of a node process, as on the scored days
 PATIENCE = 20.0  # seconds after which a case that has not come to its end is given up
 
 
@@ -143,7 +144,7 @@
             "listen": "127.0.0.1:0",
             "seed": "8c1f30d27a5be964",
             "stop_ms": stop_ms,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **(limits or {})},
+            "limits": LIMITS | (limits or {}),
             "settings": settings or site_settings(),
         }
         if admin:
--- a/lemonway/net/program/config.py
+++ b/lemonway/net/program/config.py
@@ -9,6 +9,7 @@
 
 from ...interface import Effect, Settings
 from ...settings import flatten, read_settings
+from .completeness import missing_keys
 
 EFFECT_NAMES = tuple(effect.value for effect in Effect)
 
@@ -41,6 +42,7 @@
     inherited_fd: int | None = None  # a listening socket owned by the platform, used instead of binding a port
     # The settings as in the file; a change of the fleet's policy is a patch on them.
     raw_settings: dict[str, Any] = field(default_factory=dict)
+    raw_file: dict[str, Any] = field(default_factory=dict)  # the whole file, against which a reloaded one is checked
 
 
 def parse_address(key: str, value: Any) -> Address:
@@ -63,6 +65,14 @@
         raise ConfigError(f"{source}: {path}: not JSON: {error}") from None
 
 
+def _required(raw: dict[str, Any], key: str, path: str = "") -> Any:
+    """The value of a key that has no default: one in its place could differ from what the platform holds the node to.
+    ``path``: the name of the key in error messages, if it is nested. Raises ``ConfigError``."""
+    if key not in raw:
+        raise ConfigError(f"{path or key}: missing")
+    return raw[key]
+
+
 def _number(key: str, value: Any, minimum: float) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not minimum <= value < float("inf"):
         raise ConfigError(f"{key}: {value!r} is not a number of {minimum:g} or more")
@@ -116,14 +126,13 @@
     name = environ.get("EDGE_NAME") or raw.get("name")
     if not isinstance(name, str) or not name or any(c.isspace() for c in name):
         raise ConfigError(f"name: {name!r} is not a word")
-    if "pool" not in raw:
-        raise ConfigError("pool: missing")
+    pool = parse_address("pool", _required(raw, "pool"))
     seed = raw.get("seed", "0")
     try:
         number = int(seed, 16) if isinstance(seed, str) else int(seed)
     except (TypeError, ValueError):
         raise ConfigError(f"seed: {seed!r} is not hexadecimal") from None
-    limits = raw.get("limits", {})
+    limits = _required(raw, "limits")
     if not isinstance(limits, dict):
         raise ConfigError("limits: not an object")
     if not isinstance(raw.get("settings"), dict):
@@ -133,20 +142,27 @@
     return Config(
         name=name,
         listen=listen,
-        pool=parse_address("pool", raw["pool"]),
+        pool=pool,
         announce=parse_address("announce", raw["announce"]) if raw.get("announce") else None,
         backend=parse_address("catalog", raw["catalog"]) if raw.get("catalog") else None,
         seed=number,
-        stop_ms=_number("stop_ms", raw.get("stop_ms", 5000), 0),
-        sockets=int(_number("limits.sockets", limits.get("sockets", 1024), 64)),
-        memory_mb=_number("limits.memory_mb", limits.get("memory_mb", 192), 16),
+        stop_ms=_number("stop_ms", _required(raw, "stop_ms"), 0),
+        sockets=int(_number("limits.sockets", _required(limits, "sockets", "limits.sockets"), 64)),
+        memory_mb=_number("limits.memory_mb", _required(limits, "memory_mb", "limits.memory_mb"), 16),
         settings=settings,
         raw_settings=raw["settings"],
+        raw_file=raw,
         admin=parse_address("admin", admin) if (admin := environ.get("EDGE_ADMIN") or raw.get("admin")) else None,
         inherited_fd=_descriptor(environ.get("EDGE_INHERITED_FD")),
     )
 
 
+def check_complete(in_force: Config, raw: Any) -> None:
+    """Check that the JSON of a reloaded file has every key of the file in force. Raises ``ConfigError``."""
+    for path in missing_keys(in_force.raw_file, raw):
+        raise ConfigError(f"{path}: missing, which the file in force has")
+
+
 def _descriptor(value: str | None) -> int | None:
     if not value:
         return None
@@ -155,13 +171,16 @@
     return int(value)
 
 
-def load_config(environ: Mapping[str, str]) -> Config:
-    """Read the file that ``EDGE_CONFIG`` names. Raises ``ConfigError``."""
+def load_config(environ: Mapping[str, str], in_force: Config | None = None) -> Config:
+    """Read the file that ``EDGE_CONFIG`` names. ``in_force``: at a reload, the configuration of which the file must
+    have every key. Raises ``ConfigError``."""
     path = environ.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("EDGE_CONFIG: not set")
     raw = read_json("EDGE_CONFIG", path)
     try:
+        if in_force is not None:
+            check_complete(in_force, raw)
         return read_config(raw, environ)
     except ConfigError as error:  # add the file's path to the message
         raise ConfigError(f"EDGE_CONFIG: {path}: {error}") from None
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -303,7 +303,7 @@
             node_settings = (
                 self.node_settings if self.node_settings_path is None else load_node_settings(self.node_settings_path)
             )
-            loaded = load_config(os.environ)
+            loaded = load_config(os.environ, self.config)
             layered = None if self.control_member is None else self.control_member.layer_reloaded_config(loaded)
             if layered is not None:
                 settings, active_classes = layered.settings, layered.active_class_indexes
--- a/lemonway/net/program/policy.py
+++ b/lemonway/net/program/policy.py
@@ -23,6 +23,7 @@
 from ...interface import Settings
 from ...settings import merge_settings
 from ..routing.governed import PolicyEpochDriver
+from .completeness import missing_item_keys
 from .config import Config, ConfigError, read_checked_settings, read_json
 from .replication import membership_lists
 
@@ -307,6 +308,7 @@
     def _propose(self, body: bytes) -> tuple[int, bytes]:
         try:
             settings = read_change(body)
+            self._check_complete(settings)
         except ValueError as error:
             return 400, self._json({"error": str(error)})
         try:
@@ -318,6 +320,14 @@
             {"proposal": proposal_id, "state": outcome.state, "epoch": outcome.number, "reason": outcome.reason}
         )
 
+    def _check_complete(self, data: bytes) -> None:
+        """Check that a change's classes and tenants have the keys that they have in this node's own file, so that no
+        default takes the place of a value in force. Raises ``ValueError``."""
+        own = self.node.config.raw_settings
+        changed = changes.apply_merge_patch(own, changes.parse_change(data))
+        for path in missing_item_keys(own, changed):
+            raise ValueError(f"settings: {path}: missing, which this node's own file has")
+
     def _abort(self, body: bytes) -> tuple[int, bytes]:
         action = self.epoch_driver.abort()
         if not action:
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -20,7 +20,7 @@
 
 from lemonway.kit.clients import RouterClient
 from lemonway.kit.pool import StandInPool
-from lemonway.kit.stage import site_settings
+from lemonway.kit.stage import LIMITS, site_settings
 
 ROOT = Path(__file__).parents[1]
 WAIT_TIMEOUT_S = 40.0  # a condition that is not met within this fails its test
@@ -154,6 +154,7 @@
                 "listen": f"127.0.0.1:{port}",
                 "admin": f"127.0.0.1:{admin}",
                 "stop_ms": 1000,
+                "limits": LIMITS,
                 "pool": f"127.0.0.1:{pool.getHost().port}",
                 "settings": site_settings(),
             },
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from lemonway.kit.stage import Stage, site_settings
+from lemonway.kit.stage import LIMITS, Stage, site_settings
 from lemonway.net.program.upgrade import ProcessMarker
 from lemonway.net.protocol import admin
 
@@ -152,6 +152,7 @@
                     "listen": "127.0.0.1:1",
                     "pool": f"127.0.0.1:{pool.getsockname()[1]}",
                     "stop_ms": 1500,
+                    "limits": LIMITS,
                     "settings": site_settings(),
                 }
             )
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,7 @@
 from node_test_case import DRAIN_FRAME, IDEMPOTENCY_KEY, NodeTestCase, request_frame
 
 from lemonway.kit.clients import RouterClient
-from lemonway.kit.stage import Stage, site_settings
+from lemonway.kit.stage import LIMITS, Stage, site_settings
 from lemonway.net.protocol import backend, resp
 from lemonway.net.protocol.announce import AnnounceClient
 from lemonway.net.protocol.pool import RECONNECT_DELAY_US
@@ -352,6 +352,8 @@
                 "name": "n1",
                 "listen": "127.0.0.1:0",
                 "settings": site_settings(),
+                "stop_ms": 3000,
+                "limits": LIMITS,
                 "pool": f"127.0.0.1:{pool.getsockname()[1]}",
             }
             process, path = self.start_process(folder)
@@ -373,7 +375,15 @@
             process.send_signal(signal.SIGTERM)
             with os.fdopen(pipe, "w") as file:
                 json.dump(
-                    {"name": "n1", "listen": "127.0.0.1:0", "settings": site_settings(), "pool": "127.0.0.1:1"}, file
+                    {
+                        "name": "n1",
+                        "listen": "127.0.0.1:0",
+                        "settings": site_settings(),
+                        "stop_ms": 3000,
+                        "limits": LIMITS,
+                        "pool": "127.0.0.1:1",
+                    },
+                    file,
                 )
             _, error_output = process.communicate(timeout=20)
             self.assertEqual((process.returncode, "listens on" in error_output), (0, False), error_output)
--- a/tests/test_kit.py
+++ b/tests/test_kit.py
@@ -12,7 +12,7 @@
 
 from lemonway.kit import cases, nginx
 from lemonway.kit.__main__ import main
-from lemonway.kit.stage import site_settings
+from lemonway.kit.stage import LIMITS, site_settings
 from lemonway.kit.tally import Tally
 from lemonway.net.program.config import read_config
 from lemonway.net.program.uwsgi_site import load_site, read_site
@@ -20,7 +20,15 @@
 ROOT = Path(__file__).parent.parent
 CLASSES = ["miniatura", "visualizador", "busca", "cadastro"]
 SETTINGS = read_config(
-    {"name": "n", "listen": "127.0.0.1:0", "pool": "127.0.0.1:0", "settings": site_settings()}, {}
+    {
+        "name": "n",
+        "listen": "127.0.0.1:0",
+        "pool": "127.0.0.1:0",
+        "stop_ms": 3000,
+        "limits": LIMITS,
+        "settings": site_settings(),
+    },
+    {},
 ).settings
 
 CONF = """
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -9,7 +9,7 @@
 
 from lemonway.interface import Outcome
 from lemonway.kit.nginx import read_size, read_time
-from lemonway.kit.stage import site_file, site_settings
+from lemonway.kit.stage import LIMITS, site_file, site_settings
 from lemonway.net.ports import Answer, Verdict
 from lemonway.net.program.config import ConfigError, read_config
 from lemonway.net.program.uwsgi_site import read_site
@@ -18,7 +18,15 @@
 from lemonway.net.transport.clock import Clock
 from lemonway.net.transport.ring import RingBuffer
 
-CONFIG = {"name": "n3", "listen": "127.0.0.1:1", "pool": "127.0.0.1:2", "seed": "8c", "settings": site_settings()}
+CONFIG = {
+    "name": "n3",
+    "listen": "127.0.0.1:1",
+    "pool": "127.0.0.1:2",
+    "seed": "8c",
+    "stop_ms": 3000,
+    "limits": LIMITS,
+    "settings": site_settings(),
+}
 
 
 class RingBuffers(unittest.TestCase):
@@ -324,6 +332,13 @@
                 with self.assertRaises(ConfigError) as caught:
                     read_config(CONFIG | {key: value}, {})
                 self.assertTrue(str(caught.exception).startswith(key))
+        for key in ("listen", "pool", "stop_ms", "limits", "settings"):  # no default may take their place
+            with self.assertRaisesRegex(ConfigError, f"^{key}: "):
+                read_config({name: value for name, value in CONFIG.items() if name != key}, {})
+        for key in ("memory_mb", "sockets"):
+            limits = {name: value for name, value in LIMITS.items() if name != key}
+            with self.assertRaisesRegex(ConfigError, f"^limits.{key}: missing"):
+                read_config(CONFIG | {"limits": limits}, {})
         deep, odd = site_settings(), site_settings(say="loudly")
         deep["lanes"][1]["aim"] = "soon"
         odd["lanes"][1]["effect"] = "sometimes"
--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -17,6 +17,7 @@
 from lemonway.kit.faults import policy_day
 from lemonway.kit.faults.epochs import PolicyHistory, Probe, Proposed, check
 from lemonway.kit.faults.policy_day import PolicyFleet, settings_with
+from lemonway.kit.stage import site_settings
 
 
 class Days(unittest.TestCase):
@@ -322,11 +323,14 @@
         nodes = json.loads(out)["nodes"]
         self.assertEqual((code, sorted(nodes), nodes["n2"]["alive"]), (0, ["n1", "n2", "n3"], True))
         self.assertIn("epoch 1 in force", self.command(fleet, "status", "n1")[1])
+        lanes_without_value = site_settings()["lanes"]
+        del lanes_without_value[0]["worth"]
         for text, expected in (
             ("{", "truncated"),
             ('{"settings": {"familyInfo": {"cores": 1}}}', "each machine's own"),
             ('{"setings": {}}', "setings"),
             ('{"settings": {}}' + " " * 100_000, "413"),
+            (json.dumps({"settings": {"lanes": lanes_without_value}}), "lanes.0.worth: missing"),
         ):
             bad = fleet.folder / "bad.json"
             bad.write_text(text)
--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from lemonway.kit.stage import Stage, site_settings
+from lemonway.kit.stage import LIMITS, Stage, site_settings
 
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 
@@ -516,6 +516,7 @@
             "listen": "127.0.0.1:0",
             "pool": "127.0.0.1:1",
             "stop_ms": 1000,
+            "limits": LIMITS,
             "settings": site_settings(),
         }
         process = self.start(config)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -8,6 +8,7 @@
 import os
 import tempfile
 import unittest
+from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
@@ -15,6 +16,7 @@
 from lemonway.interface import Arrival, RequestClass, Settings, Tenant
 from lemonway.kit.pool import Plan
 from lemonway.kit.stage import Stage
+from lemonway.net.program.config import read_config
 from lemonway.settings import MAX_REQUEST_CLASSES, merge_settings
 
 
@@ -175,6 +177,88 @@
         self.sighup(good)
         self.assertEqual((core.counters["reloads_ok"], core.counters["reloads_failed"]), (1, len(bad)))
 
+    def key_paths(self, value: Any, *path: str | int) -> Iterator[tuple[str | int, ...]]:
+        """The path of every key of a configuration, at any depth."""
+        for key, inner in value.items() if isinstance(value, dict) else enumerate(value):
+            if isinstance(key, str):
+                yield (*path, key)
+            if isinstance(inner, dict | list):
+                yield from self.key_paths(inner, *path, key)
+
+    def test_a_file_that_lacks_any_key_of_the_file_in_force_is_rejected(self) -> None:
+        """A default took the place of the value in force."""
+        del self.raw["catalog"], self.raw["settings"]["lanes"][1]["memorySpan"]
+        self.raw["settings"]["lanes"][0]["memorySpan"] = 24336.0  # a class that is not keyed may lack it
+        self.harness.node.config = read_config(self.raw, {})
+        node, core = self.harness.node, self.harness.node.core
+        before = (core.settings, core.active_classes, node.config)
+        may_lack = [("settings", "lanes", index, "memorySpan") for index in (0, 2)]
+        paths = [path for path in self.key_paths(self.raw) if path not in may_lack]
+        self.assertGreater(len(paths), 60)
+        for number, path in enumerate(paths, 1):
+            for value in (None, "absent"):
+                with self.subTest(path=path, value=value):
+                    raw = at = copy.deepcopy(self.raw)
+                    for key in path[:-1]:
+                        at = at[key]  # type: ignore[index]
+                    del at[path[-1]]  # type: ignore[arg-type]
+                    if value is None and path != ("announce",):
+                        at[path[-1]] = None  # type: ignore[index]
+                    with self.assertLogs("lemonway", "ERROR") as logs:
+                        self.sighup(json.dumps(raw))
+                    self.assertIn(f"{path[-1]}:", logs.output[0])
+            self.assertEqual((core.counters["reloads_ok"], core.counters["reloads_failed"]), (0, 2 * number))
+        self.assertEqual((core.settings, core.active_classes, node.config), before)
+        for path in may_lack:
+            del self.raw["settings"]["lanes"][path[2]]["memorySpan"]
+        self.sighup()
+        self.assertEqual(core.counters["reloads_ok"], 1)
+
+    def test_an_added_class_or_tenant_needs_the_keys_that_all_others_have(self) -> None:
+        core = self.harness.node.core
+        self.configure_classes("miniatura", "visualizador", "busca", "cadastro", "mapa")
+        self.raw["settings"]["tenants"].append({"name": "museu-novo", "share": 0.1, "quotaRps": 9.0})
+        for number, (items, key) in enumerate((("lanes", "lateValue"), ("lanes", "worth"), ("tenants", "quotaRps")), 1):
+            raw = copy.deepcopy(self.raw)
+            del raw["settings"][items][-1][key]
+            self.sighup(json.dumps(raw))
+            self.assertEqual((core.counters["reloads_ok"], core.counters["reloads_failed"]), (0, number))
+        self.sighup()
+        self.assertEqual(core.counters["reloads_ok"], 1)
+
+    def test_an_optional_address_is_removed_by_null_or_an_empty_string(self) -> None:
+        core = self.harness.node.core
+        for value in (None, ""):
+            self.raw["announce"] = value
+            self.sighup()
+        self.assertEqual((core.counters["reloads_ok"], self.harness.node.announcer), (2, None))
+
+
+class NoticeAfterReload(unittest.TestCase):
+    def test_a_drain_keeps_the_kill_time_in_force_after_a_file_without_it(self) -> None:
+        """The file was taken with a default of 5 s, and a drain planned its last answers for after the kill."""
+        harness = Stage(stop_ms=1200)
+        self.addCleanup(harness.close)
+        harness.pool.plans["busca"].held = True
+        router = harness.router()
+        tag = router.call("busca", b"long")
+        harness.spin(lambda: len(harness.pool.spawned) == 1)
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump({key: value for key, value in harness.raw.items() if key != "stop_ms"}, file)
+            file.flush()
+            environment = {"EDGE_CONFIG": file.name, "EDGE_NAME": "", "EDGE_LISTEN": ""}
+            with mock.patch.dict(os.environ, environment):
+                harness.node.reload()
+        self.assertEqual(harness.node.core.counters["reloads_failed"], 1)
+        with mock.patch.object(harness.node, "stop_reactor"):
+            harness.node.drain()
+            harness.spin(
+                lambda: tag in router.answers or harness.node.event_loop.clock.now_us > harness.node.kill_at_us
+            )
+        self.assertIn(tag, router.answers)
+        self.assertLess(harness.node.event_loop.clock.now_us, harness.node.kill_at_us)
+        self.assertEqual(harness.node.config.stop_ms, 1200)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_service_days.py
+++ b/tests/test_service_days.py
@@ -16,7 +16,7 @@
 
 from lemonway import interface as api
 from lemonway.kit.clients import RouterClient
-from lemonway.kit.stage import Stage, site_settings
+from lemonway.kit.stage import LIMITS, Stage, site_settings
 from lemonway.net.program.bounds import MB, PROGRAM_DESCRIPTORS, PROGRAM_MB, REQUEST_BYTES, bounds_of
 from lemonway.net.protocol.backend import MAX_IDLE_SINGLE_ATTEMPT_US
 
@@ -108,7 +108,13 @@
             socket.create_server(("127.0.0.1", 0)) as two,
         ):
             path = Path(folder, "config.json")
-            config: dict[str, Any] = {"name": "n1", "listen": "127.0.0.1:0", "settings": site_settings()}
+            config: dict[str, Any] = {
+                "name": "n1",
+                "listen": "127.0.0.1:0",
+                "stop_ms": 3000,
+                "limits": LIMITS,
+                "settings": site_settings(),
+            }
 
             def write(pool: Any) -> None:
                 Path(folder, "new").write_text(json.dumps({**config, "pool": pool}))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from lemonway.kit.clients import RouterClient
-from lemonway.kit.stage import site_settings
+from lemonway.kit.stage import LIMITS, site_settings
 
 PROJECT = {  # the modules of this project that ``run`` imports; optional features import theirs when they are used
     "lemonway",
@@ -30,6 +30,7 @@
     "lemonway.net.ports",
     "lemonway.net.program",
     "lemonway.net.program.bounds",
+    "lemonway.net.program.completeness",
     "lemonway.net.program.config",
     "lemonway.net.program.signal_mask",
     "lemonway.net.program.logs",
@@ -84,6 +85,7 @@
         "catalog": "127.0.0.1:1",
         "announce": "127.0.0.1:1",
         "stop_ms": 1000,
+        "limits": LIMITS,
         **more,
     }
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -23,7 +23,7 @@
 
 from lemonway.kit.emulator.day import World
 from lemonway.kit.emulator.scenario import check
-from lemonway.kit.stage import Stage, site_settings
+from lemonway.kit.stage import LIMITS, Stage, site_settings
 from lemonway.net.program import node as program
 from lemonway.net.protocol import resp
 from lemonway.net.routing import core
@@ -77,6 +77,7 @@
                         "listen": "127.0.0.1:0",
                         "settings": site_settings(),
                         "stop_ms": 1500,
+                        "limits": LIMITS,
                         "pool": f"127.0.0.1:{pool.getsockname()[1]}",
                         "announce": f"127.0.0.1:{sink.getsockname()[1]}",
                     }
