Take only a process that serves on for a successor at SIGTERM

Callers: a second after an upgrade a node was told to leave; requests on new connections got no answer, and the announce list went on showing the node.

Cause: a marker in $TMPDIR said that a process is alive, not that it serves. The old process kept its marker while it finished its requests, so the new one, told to leave, handed over to its predecessor.

Change: a process removes its marker before it looks for others, and holds a lock on it until then, so neither a leaving nor a killed process is found, whatever became of its pid. Markers of earlier versions count only if they are younger. After a handover a process watches its successor and reports that the node leaves once that one does. A key file with this process's pid that it has not written is an earlier process's.

--- a/lemonway/net/program/keyfiles.py
+++ b/lemonway/net/program/keyfiles.py
@@ -96,17 +96,16 @@
             self._unlink(self._path(key))
 
     def lookup(self, key: str) -> OtherProcessRun | None:
-        """The claim of another process of this node; ``None`` if there is none or it is this process's own."""
+        """The claim of another process of this node; ``None`` if there is none or it is this process's own. A claim
+        with this process's pid that it has not made is that of an earlier process, which has ended."""
         if key in self.own:
             return None
         record = self._read(self._path(key))
         if record is None:
             return None
         digest, expires_at_us, pid, state, body = record
-        if pid == self.pid:
-            return None
         succeeded: bool | None = None if state == RUNNING else state == SUCCEEDED
-        if succeeded is None and not process_exists(pid):
+        if succeeded is None and (pid == self.pid or not process_exists(pid)):  # own pid: of a killed process before
             latest = self._read(self._path(key))  # the process may have written its result just before it ended
             succeeded, body = (
                 (latest[3] == SUCCEEDED, latest[4]) if latest is not None and latest[3] != RUNNING else (False, b"")
--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -409,16 +409,36 @@
         now = self.event_loop.clock.now_us
         self.grace_end_us = now + int(self.config.settings.drain_grace_ms * 1000)
         self.kill_at_us = now + int(self.config.stop_ms * 1000)
-        # A newer process of this node on the same listening socket takes over at once: this one stops accepting, and
-        # the announce list follows the other's reports.
-        handover = self.config.inherited_fd is not None and self.presence.has_successor()
+        # If another process of this node serves on from the same listening socket, this one stops accepting at once,
+        # and the announce list follows the other's reports. Of two processes told to leave at the same moment, neither
+        # may take the other for its successor: each removes its own marker before it looks for others.
+        self.presence.unregister()
+        handover = self.config.inherited_fd is not None and self._find_successor()
         if handover:
             self.core.counters["handovers"] += 1
+            self.event_loop.call_after(DRAIN_CHECK_INTERVAL_US, self.check_successor)
         self.core.drain(self.config.stop_ms, handover=handover)
         self.event_loop.call_at(now if handover else min(self.grace_end_us, self.core.stop_at_us), self.close_ports)
         self.event_loop.call_at(self.core.stop_at_us, self.close_connections)
         self.event_loop.call_at(max(self.core.stop_at_us, self.kill_at_us - EXIT_MARGIN_US), self.stop_when_answered)
 
+    def _find_successor(self) -> bool:
+        """Whether another process of this node serves on; logs which, since it decides how this one ends."""
+        pid = self.presence.successor_pid()
+        if pid is None:
+            log.info("SIGTERM: no other process of this node serves on: it leaves")
+        else:
+            log.info("SIGTERM: process %d of this node serves on: handing over", pid)
+        return pid is not None
+
+    def check_successor(self) -> None:
+        """After a handover: if the successor is told to leave as well, or has ended, the whole node is leaving, and
+        this process reports so while it finishes its requests."""
+        if self.presence.has_successor():
+            self.event_loop.call_after(DRAIN_CHECK_INTERVAL_US, self.check_successor)
+        else:
+            self.core.end_handover()
+
     def close_ports(self) -> None:
         """Stop listening after the grace period: no run may start any more, and a refused connection tells a router so
         cheaply. Waiting connections are accepted first. Idle ones are closed in order, since some routers keep theirs
--- a/lemonway/net/routing/core.py
+++ b/lemonway/net/routing/core.py
@@ -524,6 +524,12 @@
         # check of the policy just before that time and for a slow final write.
         self._inbox.append(api.Drain(max(0.0, stop_ms - STOP_MARGIN_MS)))
 
+    def end_handover(self) -> None:
+        """While this process finishes its requests, no other one serves any more: it reports that the node leaves."""
+        self.readiness.handover = False
+        self.readiness.refresh()
+        self.report()
+
     def update_settings(self, settings: Settings, active_classes: list[int]) -> None:
         """Apply new settings (``settings.merge_settings``). Requests in flight keep their class and deadline."""
         self.former_keyed_classes.settings_replaced(self.settings)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import Any
@@ -139,11 +140,69 @@
             self.assertFalse(old.has_successor())
             self.assertFalse(dead.exists())
 
+    def test_a_process_that_was_told_to_leave_is_no_successor(self) -> None:
+        """A process that only finished its requests was taken for one that serves."""
+        with tempfile.TemporaryDirectory() as folder:
+            first, second, third = (ProcessMarker("n1", folder, pid) for pid in (os.getpid(), os.getppid(), 1))
+            for marker in (first, second):
+                marker.register()
+            first.unregister()  # at its SIGTERM
+            self.assertTrue(first.has_successor())
+            self.assertFalse(second.has_successor())
+            third.register()  # the next upgrade, while the first process still finishes its requests
+            second.unregister()
+            self.assertEqual((second.successor_pid(), third.successor_pid()), (1, None))
+            third.unregister()
+            self.assertEqual(os.listdir(folder), [])
+
+    def test_of_two_processes_told_to_leave_at_once_at_most_one_hands_over(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            markers = [ProcessMarker("n1", folder, pid) for pid in (os.getpid(), os.getppid())]
+            for marker in markers:
+                marker.register()
+            for marker in markers:
+                marker.unregister()
+            self.assertEqual([marker.has_successor() for marker in markers], [False, False])
+
+    def test_a_killed_process_is_no_successor_whatever_became_of_its_pid(self) -> None:
+        """A pid is in use as long as the process is not reaped, and may be another process's later."""
+        with tempfile.TemporaryDirectory() as folder:
+            remaining = ProcessMarker("n1", folder, 1)
+            remaining.register()
+            killed = subprocess.Popen(
+                [sys.executable, "-c", REGISTERED_PROCESS, folder], stdout=subprocess.PIPE, text=True
+            )
+            self.addCleanup(killed.wait)
+            assert killed.stdout is not None
+            self.assertEqual(killed.stdout.readline(), "registered\n")
+            self.assertEqual(remaining.successor_pid(), killed.pid)
+            killed.kill()
+            os.waitid(os.P_PID, killed.pid, os.WEXITED | os.WNOWAIT)  # it has ended and is not reaped
+            self.assertFalse(remaining.has_successor())
+            self.assertEqual(os.listdir(folder), ["lemonway-node-n1.1"], "its marker is removed")
+            killed.stdout.close()
+            reused = Path(folder, f"lemonway-node-n1.{os.getpid()}")
+            reused.write_text(f"{os.getpid()}\nlocked\n")
+            self.assertFalse(remaining.has_successor())
+
+    def test_a_process_of_an_earlier_version_is_a_successor_if_it_started_later(self) -> None:
+        """Its marker has no lock, and stays while it finishes its requests."""
+        with tempfile.TemporaryDirectory() as folder:
+            earlier = Path(folder, f"lemonway-node-n1.{os.getpid()}")
+            earlier.write_text(f"{os.getpid()}\n")
+            os.utime(earlier, (1, 1))
+            new = ProcessMarker("n1", folder, 1)
+            new.register()
+            self.assertFalse(new.has_successor(), "it was upgraded from that one")
+            os.utime(earlier, ns=(new.registered_at_ns + 1, new.registered_at_ns + 1))
+            self.assertTrue(new.has_successor(), "the operators went back to the earlier version")
+
 
 class Upgrade(unittest.TestCase):
     """Two processes of one node serve the listening socket that the platform hands to both during an upgrade."""
 
-    def start(self, folder: str, fd: int, pool: socket.socket, name: str) -> subprocess.Popen[str]:
+    def start(self, folder: str, fd: int, pool: socket.socket, name: str, **config: Any) -> subprocess.Popen[str]:
+        """``config``: further keys of the file."""
         path = Path(folder, f"{name}.json")
         path.write_text(
             json.dumps(
@@ -154,6 +213,7 @@
                     "stop_ms": 1500,
                     "limits": LIMITS,
                     "settings": site_settings(),
+                    **config,
                 }
             )
         )
@@ -204,11 +264,67 @@
             self.assertEqual(new.returncode, 0, log_text)
             self.assertNotIn("handovers=1", log_text, "the last process has no successor")
 
+    def test_a_notice_to_leave_while_the_old_process_finishes_its_requests_is_no_handover(self) -> None:
+        """The new process took its predecessor for a successor: new connections got no answer, and the announce list
+        went on showing the node."""
+        settings = site_settings()
+        settings["rules"]["stopSendingWithin"] = 2500.0
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            socket.create_server(("127.0.0.1", 0)) as listener,
+            socket.create_server(("127.0.0.1", 0)) as pool,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as announce,
+        ):
+            announce.bind(("127.0.0.1", 0))
+            announce.settimeout(10)
+            fd, address = listener.fileno(), listener.getsockname()
+            more = {"announce": f"127.0.0.1:{announce.getsockname()[1]}", "stop_ms": 4000, "settings": settings}
+            old = self.start(folder, fd, pool, "old", **more)
+            with socket.create_connection(address, timeout=10) as router:
+                router.sendall(request())  # the pool never ends it: the old process stays until its deadline
+                router.sendall(HEALTH_CHECK)
+                self.assertIn(b"READY", router.recv(4096))
+                new = self.start(folder, fd, pool, "new", **more)
+                old.send_signal(signal.SIGTERM)
+                assert old.stderr is not None and new.stderr is not None
+                self.assertIn(f"process {new.pid} of this node serves on", old.stderr.readline())
+                self.assertEqual(check_health(listener), b"READY")
+                new.send_signal(signal.SIGTERM)
+                self.assertIn("no other process of this node serves on", new.stderr.readline())
+                self.assertIsNone(old.poll(), "it still finishes its request")
+                self.assertEqual([check_health(listener) for _ in range(3)], [b"UNREADY"] * 3)
+                while announce.recv(64) != b"announce n1 false":
+                    pass
+                router.sendall(HEALTH_CHECK)
+                while b"UNREADY" not in router.recv(4096):  # the old process says so too, though it had handed over
+                    router.sendall(HEALTH_CHECK)
+            logs = [process.communicate(timeout=15)[1] for process in (old, new)]
+            self.assertEqual(["handovers=1" in log for log in logs], [True, False], logs)
+
+
+HEALTH_CHECK = b"*2\r\n$5\r\nCHECK\r\n$1\r\n1\r\n"
+# A process that holds a marker in the folder given until it is killed.
+REGISTERED_PROCESS = """
+import os, sys, time
+from lemonway.net.program.upgrade import ProcessMarker
+marker = ProcessMarker("n1", sys.argv[1], os.getpid())
+marker.register()
+print("registered", flush=True)
+time.sleep(60)
+"""
+
+
+def request() -> bytes:
+    """A request of a class that is safe to repeat."""
+    fields = b"txn=9b1f03aa5c7e2d41,door=%d,lb=1,ram=24.5,standing=0.5" % (time.time() * 1000)
+    words = (b"CALL", b"7", b"busca", fields, b"long")
+    return b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+
 
 def check_health(listener: socket.socket, port: int = 0) -> bytes:
     """Sends a health check on a new connection; returns the answer's status word."""
     with socket.create_connection(("127.0.0.1", port or listener.getsockname()[1]), timeout=10) as connection:
-        connection.sendall(b"*2\r\n$5\r\nCHECK\r\n$1\r\n1\r\n")
+        connection.sendall(HEALTH_CHECK)
         received = b""
         while received.count(b"\r\n") < 5:
             chunk = connection.recv(4096)
--- a/tests/test_upgrade_keys.py
+++ b/tests/test_upgrade_keys.py
@@ -79,6 +79,15 @@
         )
         self.assertEqual(self.new.pool.spawned, [])
 
+    def test_the_claims_of_a_killed_process_with_the_same_pid_are_known(self) -> None:
+        """They were taken for this process's own, so a repeat failed though its first try was served."""
+        killed, started = KeyFiles(self.folder, 7), KeyFiles(self.folder, 7)
+        for key in ("ended", "running"):
+            self.assertTrue(killed.claim(key, b"d" * 16, FAR_FUTURE_US, 0))
+        killed.record_result("ended", True, b"result")
+        runs = [started.lookup(key) for key in ("ended", "running")]
+        self.assertEqual([(run.succeeded, run.body) for run in runs if run], [(True, b"result"), (False, b"")])
+
     def test_a_try_waits_for_the_other_process_outside_the_admission_policy(self) -> None:
         self.old.pool.plans["cadastro"] = Plan(held=True)
         first = self.ask(self.old)
