Judge a proposal by the decision on its own number, not by the newest 16

Callers: a change that an operator had proposed once was committed twice after a cut, and undid the operator's later change.

Cause: a log of decisions carries the newest 16, and a proposer that did not find its change there took it for lost.

Change: only the decision on the number of its ballot tells what became of a proposal; where no log has it, the outcome is "unknown", final, and nothing is proposed again. Logs, also the one on disk, carry all that the receiver lacks, up to the 64 decisions that are kept. It works because a change can be decided on no other number.

--- a/lemonway/epochs/member.py
+++ b/lemonway/epochs/member.py
@@ -45,10 +45,13 @@
 
 HEARTBEATS_PER_SECOND = 100  # at most, over all peers: the interval of heartbeats to each grows with their number
 HEARTBEAT_LOSS_LIMIT = 4  # heartbeat intervals without a message after which a peer counts as down
-RECENT_CHANGES = 16  # newest decisions that are sent with the log
-HISTORY_SIZE = 64  # decisions that are kept
+RECENT_CHANGES = 16  # newest decisions that are sent with the log, also to a peer that has most of them
+HISTORY_SIZE = 64  # decisions that are kept, and sent to a peer that lacks them
 MAX_OUTCOMES = 64  # proposals of this node whose outcome is kept
 MAX_PROPOSAL_TRIES = 5  # epoch numbers that a proposal tries, when aborts of others take them first
+UNKNOWN_REASON = (
+    "it may be in force: more was decided while this node was cut off than any node keeps; look, then propose it again"
+)
 RESOLVE_STEP_US = 50_000  # between the times at which two nodes would finish a proposal whose proposer is down
 
 
@@ -99,8 +102,9 @@
 
 @dataclass(frozen=True)
 class Outcome:
-    """The state of a proposal: ``checking``, ``deciding``, ``committed``, ``aborted``, ``lost`` to another change, or
-    ``refused`` before it reached the log."""
+    """The state of a proposal: ``checking``, ``deciding``, ``committed``, ``aborted``, ``lost`` to another change,
+    ``refused`` before it reached the log, or ``unknown``: it may be committed, and no node still tells what was decided
+    on its number. A change in that state must not be proposed again by itself."""
 
     state: str
     number: int = 0
@@ -286,7 +290,7 @@
             self._on_log(message, now_us)
         elif isinstance(message, Pull):
             if message.known_epoch < self.epoch:
-                self._send(sender, self._log())
+                self._send(sender, self._log(message.known_epoch))
         elif isinstance(message, Rejoin):
             register = self.register
             self._send(
@@ -295,7 +299,7 @@
                     incarnation,
                     message.stamp_us,
                     self.memory_intact,
-                    self._log(),
+                    self._log(known_epoch=0),
                     register.promised,
                     register.accepted,
                     register.value,
@@ -396,8 +400,11 @@
 
     # the log
 
-    def _log(self) -> Log:
-        recent = tuple(change for change in self.history.values() if change.number > self.epoch - RECENT_CHANGES)
+    def _log(self, known_epoch: int) -> Log:
+        """The log for a node that knows the decisions up to ``known_epoch``: with every later decision that is kept
+        here, since the node may have proposed any of them, and at least the newest ones."""
+        first = min(known_epoch, self.epoch - RECENT_CHANGES) + 1
+        recent = tuple(change for change in self.history.values() if change.number >= first)
         return Log(self.epoch, self.committed, recent)
 
     def _on_log(self, message: Log, now_us: int) -> None:
@@ -407,8 +414,6 @@
         for change in (*message.recent_changes, message.committed):
             if change.number and change.number not in self.history:
                 self.history[change.number] = change.without_settings()
-        while len(self.history) > HISTORY_SIZE:
-            del self.history[min(self.history)]
         self.register = Register(self.epoch + 1)
         self.undecided_since_us = 0
         if self.round is not None and self.round.number <= self.epoch:
@@ -417,14 +422,22 @@
             self.committed, self.incompatibility = message.committed, ""
             self._outputs.append(ApplyChange(message.committed))
         self._update_proposal(now_us)
+        while len(self.history) > HISTORY_SIZE:
+            del self.history[min(self.history)]
 
     def _update_proposal(self, now_us: int) -> None:
-        """Updates this node's proposal after numbers were decided."""
+        """Updates this node's proposal after numbers were decided. Only the decision on the proposal's own number tells
+        what became of it: that later changes are committed does not mean that it was not."""
         proposal = self.proposal
         if proposal is None or proposal.change.number > self.epoch:
             return
         ident = proposal.change.change_id
-        own_decision = next((change for change in self.history.values() if change.change_id == ident), None)
+        decision = self.history.get(proposal.change.number)
+        if decision is None and not proposal.checking:  # a ballot was begun, and may have ended while others decided on
+            self.counters["policy_outcomes_unknown"] += 1
+            self._finish_proposal(Outcome("unknown", proposal.change.number, UNKNOWN_REASON))
+            return
+        own_decision = decision if decision is not None and decision.change_id == ident else None
         other_commit = next(
             (
                 change
@@ -609,7 +622,7 @@
         self, sender: str, number: int, vote: Callable[[], Promise | Accepted | Nack], now_us: int
     ) -> None:
         if number <= self.epoch:
-            self._send(sender, self._log())
+            self._send(sender, self._log(number - 1))
         elif number > self.epoch + 1:
             self._send(sender, Pull(self.epoch))
         elif self.memory_intact and self.may_vote:
@@ -643,9 +656,10 @@
             self.round = None
             self.counters["policy_decided"] += 1
             committed = value if value.commit else self.committed
-            recent = tuple(self._log().recent_changes) + (value.without_settings(),)
+            recent = (*self._log(self.epoch).recent_changes, value.without_settings())
             self._on_log(Log(value.number, committed, recent), now_us)
-            self._broadcast(self._log())
+            for name, peer in self.peers.items():
+                self._send(name, self._log(peer.epoch))
 
     def _rank(self) -> int:
         """Returns this node's index among the live nodes by name, by which they delay their ballots differently."""
@@ -726,7 +740,12 @@
             self._last_saved = durable_state
             register = self.register
             memory = SavedState(
-                SAVED_STATE_VERSION, self.name, self._log(), register.promised, register.accepted, register.value
+                SAVED_STATE_VERSION,
+                self.name,
+                self._log(known_epoch=0),
+                register.promised,
+                register.accepted,
+                register.value,
             )
             out.insert(0, SaveState(msgspec.msgpack.encode(memory)))
         return out
--- a/lemonway/epochs/messages.py
+++ b/lemonway/epochs/messages.py
@@ -51,7 +51,7 @@
 
 class Log(msgspec.Struct, frozen=True, array_like=True, tag="elog"):
     """All epochs up to ``last_decided`` are decided; ``committed`` is the change in force, and ``recent_changes`` are
-    the last decisions, without settings."""
+    the last decisions, without settings: those that the receiver lacks, as far as the sender keeps them."""
 
     last_decided: int
     committed: Change
--- a/lemonway/kit/cli/control.py
+++ b/lemonway/kit/cli/control.py
@@ -11,7 +11,7 @@
 from ...net.program import logs
 from .. import control as operators
 from ..emulator import report
-from ..policy import CallError
+from ..policy import UNKNOWN, CallError
 from .common import AS_JSON, ExitStatus, fail
 
 VERSIONS_SHOWN = 8
@@ -52,7 +52,7 @@
     """Propose the change in FILE, and tell what becomes of it.
 
     Ends with 0 if it is committed (with --wait: in force on all nodes), 1 if it is not committed, 2 on bad input, 3 if
-    that was not so in time."""
+    that was not so in time or can't be told."""
     try:
         made = operators.propose(machine, file.read(), within, wait)
     except CallError as error:
@@ -71,7 +71,7 @@
 
 def _status_of(made: dict[str, Any], wait: bool) -> ExitStatus:
     """The exit status for a proposal."""
-    if made["state"] not in operators.OVER:
+    if made["state"] not in operators.OVER or made["state"] == UNKNOWN:
         return ExitStatus.KIT_FAILED
     if made["state"] != "committed":
         return ExitStatus.BROKEN
--- a/lemonway/kit/cli/policy.py
+++ b/lemonway/kit/cli/policy.py
@@ -27,7 +27,8 @@
 def policy_propose(file: BinaryIO, node: str, wait: float, json_: bool) -> None:
     """Propose the change in FILE, and tell what becomes of it.
 
-    Ends with 0 if it is committed, 1 if it is not, 2 on bad input, 3 if it was not decided in time."""
+    Ends with 0 if it is committed, 1 if it is not, 2 on bad input, 3 if it was not decided in time or can't be
+    told."""
     try:
         made = operators.propose(node, file.read(), wait)
     except operators.CallError as error:
@@ -47,7 +48,7 @@
     """The exit status for the state of a proposal."""
     if state == "committed":
         return ExitStatus.OK
-    return ExitStatus.BROKEN if state in operators.OVER else ExitStatus.KIT_FAILED
+    return ExitStatus.BROKEN if state in operators.OVER and state != operators.UNKNOWN else ExitStatus.KIT_FAILED
 
 
 @policy.command("status")
--- a/lemonway/kit/control.py
+++ b/lemonway/kit/control.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from .policy import ASK, CallError, call
+from .policy import ASK, UNKNOWN, CallError, call
 
 MISSING = "takes no such call: name the admin address of a control machine (lemonway control run)"
-OVER = ("committed", "aborted", "refused", "lost")
+OVER = ("committed", "aborted", "refused", "lost", UNKNOWN)
 
 
 def ask(machine: str, path: str, body: bytes | None = None) -> dict[str, Any]:
--- a/lemonway/kit/emulator/control_history.py
+++ b/lemonway/kit/emulator/control_history.py
@@ -160,6 +160,10 @@
             self._check_outcomes(voter)
 
     def _check_outcomes(self, voter: Voter) -> None:
+        commits = Counter(entry.ident for entry in voter.history() if entry.committed and entry.ident)
+        for ident, count in commits.items():
+            if count > 1:
+                self.add_violation(f"{ident} was proposed once and committed {count} times")
         decided = {entry.ident: entry.committed for entry in voter.history() if entry.ident}
         for ident, state in self.outcomes.items():
             if state in ("queued", "checking", "deciding"):
--- a/lemonway/kit/policy.py
+++ b/lemonway/kit/policy.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 ASK = 0.05  # seconds between looks at a proposal that is under way
-OVER = ("committed", "aborted", "lost", "refused")
+UNKNOWN = "unknown"  # the state of a proposal of which no node can tell whether it is committed
+OVER = ("committed", "aborted", "lost", "refused", UNKNOWN)
 
 
 class CallError(Exception):
--- a/lemonway/kit/scale/control_group.py
+++ b/lemonway/kit/scale/control_group.py
@@ -32,7 +32,7 @@
 
     @property
     def is_final(self) -> bool:
-        return self.state in ("committed", "aborted", "refused", "lost")
+        return self.state in ("committed", "aborted", "refused", "lost", "unknown")
 
 
 class ControlProcess:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -27,7 +27,7 @@
 from lemonway.control.terms import SECOND, AgentTerms, PublishTerms, VoterTerms, WatchTerms
 from lemonway.control.versions import NO_DIGEST, Proposed, Version, VersionLog, version_of
 from lemonway.control.voter import Contents, VoteError, Voter
-from lemonway.epochs.messages import Accepted, Change, Log, Promise
+from lemonway.epochs.messages import Accepted, Change, CheckReply, Log, Promise
 
 MS = 1000
 T = TypeVar("T")
@@ -771,6 +771,8 @@
         self.voters = {name: self.make(name, True) for name in self.names}
         self.votes_on_disk: dict[str, bytes] = {}
         self.isolated: set[str] = set()
+        self.dropped: Callable[[str, Any], bool] = lambda to, message: False
+        self.dialled: dict[str, str] = {}  # by voter: the one that it watches or tries to
         self.run_for(2 * SECOND)
 
     def make(
@@ -799,8 +801,12 @@
             sender, output = waiting.popleft()
             if isinstance(output, messages.PersistVote):
                 self.votes_on_disk[sender] = output.encoded_state
+            elif isinstance(output, messages.Dial):
+                self.dialled[sender] = output.publisher
             elif isinstance(output, messages.SendToVoter) and not {sender, output.to} & self.isolated:
                 message: Any = output.message
+                if self.dropped(output.to, message):
+                    continue
                 answers = self.voters[output.to].receive_voter(
                     sender, self.voters[sender].incarnation, message, self.now
                 )
@@ -813,6 +819,23 @@
             for name, voter in self.voters.items():
                 self.deliver(name, voter.tick(self.now))
 
+    def catch_up(self, lagging: Voter, publisher: str) -> list[object]:
+        """Connect a voter to the one that it has dialled, and pass on the versions that it lacks."""
+        watch, heartbeat = upstream_messages(lagging.connected(self.now))
+        upstream = self.voters[publisher]
+        upstream.subscriber_connected(1, self.now)
+        self.assertIsInstance(watch, messages.Watch)
+        any_watch: Any = watch
+        outputs: list[object] = []
+        sent = upstream.receive(1, any_watch, self.now)
+        while True:
+            for message in messages_to(1, sent):
+                outputs += lagging.receive_upstream(message, self.now)
+            if lagging.contents is Contents.COMPLETE:
+                return outputs
+            self.now += 5 * MS  # a long backlog is sent piece by piece
+            sent = upstream.tick(self.now)
+
     def propose(self, name: str, *operations: Operation) -> str:
         ident, outputs = self.voters[name].propose(operations or (put("a"),), 0, self.now)
         self.deliver(name, outputs)
@@ -873,6 +896,64 @@
         self.assertEqual([self.voters[name].outcomes[ident].state for name, ident in idents.items()], ["committed"] * 3)
         self.assertEqual({voter.table.content for voter in self.voters.values()}.__len__(), 1)
 
+    def decide_while_the_proposer_is_cut_off(self, later_changes: int, restarted: Sequence[str] = ()) -> str:
+        """The others accept v0's change, and v0 hears no more of it. They decide it and ``later_changes`` more, the
+        first of which undoes it; voters may restart from their disks; then v0 hears them again. Returns v0's
+        proposal."""
+        self.dropped = lambda to, message: to == "v0" and not isinstance(message, CheckReply | Promise)
+        ident = self.propose("v0", put("once"))
+        self.run_for(2 * SECOND)
+        self.assertEqual([voter.number for voter in self.voters.values()], [0, 1, 1])
+        self.isolated = {"v0"}
+        self.run_for(2 * SECOND)
+        for at in range(later_changes):
+            self.propose("v1", Delete("tenant", "once") if at == 0 else put(str(at)))
+            self.run_for(10 * MS)
+        self.assertEqual(self.voters["v1"].number, later_changes + 1)
+        for name in restarted:
+            voter = self.voters[name]
+            stored = StoredConfiguration(voter.number, voter.digest, voter.table)
+            self.voters[name] = self.make(name, False, 2, vote=self.votes_on_disk[name], stored=stored)
+        self.dropped, self.isolated = (lambda to, message: False), set()
+        self.run_for(2 * SECOND)
+        return ident
+
+    def committed_by(self, ident: str) -> list[int]:
+        """The versions as which a proposal was committed, as voters that were never cut off tell them."""
+        entries = self.voters["v1"].history() + self.voters["v2"].history()
+        return sorted({entry.number for entry in entries if entry.committed and entry.ident == ident})
+
+    def test_a_change_decided_while_its_proposer_was_cut_off_is_not_proposed_again(self) -> None:
+        """The proposer knew only the newest 16 decisions, took its change for lost, and had it decided once more."""
+        for later_changes, restarted in ((3, ()), (21, ()), (60, ()), (21, ("v1", "v2"))):
+            with self.subTest(later_changes=later_changes, restarted=restarted):
+                self.setUp()
+                ident = self.decide_while_the_proposer_is_cut_off(later_changes, restarted)
+                v0 = self.voters["v0"]
+                self.assertEqual((v0.outcomes[ident].state, v0.outcomes[ident].number), ("committed", 1))
+                self.check_that_it_stays_undone()
+                self.assertEqual(self.committed_by(ident), [1])
+
+    def test_a_change_of_which_nobody_tells_the_outcome_is_not_proposed_again(self) -> None:
+        ident = self.decide_while_the_proposer_is_cut_off(70)
+        self.assertEqual(self.voters["v0"].outcomes[ident].state, "unknown")
+        self.assertIn("may be in force", self.voters["v0"].outcomes[ident].reason)
+        self.check_that_it_stays_undone()
+        self.assertEqual(self.counters["policy_outcomes_unknown"], 1)
+
+    def check_that_it_stays_undone(self) -> None:
+        """v0 catches up, and nothing that it does brings back the change that was undone."""
+        v0, number = self.voters["v0"], self.voters["v1"].number
+        if v0.contents is Contents.INCOMPLETE:
+            self.catch_up(v0, self.dialled["v0"])
+        self.run_for(5 * SECOND)
+        self.assertEqual((v0.contents, v0.number), (Contents.COMPLETE, number))
+        self.assertEqual([voter.table.get("tenant", "once") for voter in self.voters.values()], [None] * 3)
+        self.assertEqual([voter.number for voter in self.voters.values()], [number] * 3)
+        following = self.propose("v0", put("next"))
+        self.run_for(SECOND)
+        self.assertEqual(v0.outcomes[following].state, "committed")
+
     def test_voter_with_incomplete_contents_fetches_them_and_neither_votes_nor_grants(self) -> None:
         for at in range(3):
             self.propose("v0", put(str(at)))
@@ -884,15 +965,8 @@
         self.assertEqual(
             (lagging.lease_remaining_us(self.now), "being fetched" in lagging.not_serving_reason(self.now)), (0, True)
         )
-        publisher = of_type(messages.Dial, lagging.tick(self.now))[0].publisher
-        watch, heartbeat = upstream_messages(lagging.connected(self.now))
-        upstream = self.voters[publisher]
-        upstream.subscriber_connected(1, self.now)
-        self.assertIsInstance(watch, messages.Watch)
-        any_watch: Any = watch
-        outputs: list[object] = []
-        for message in messages_to(1, upstream.receive(1, any_watch, self.now)):
-            outputs += lagging.receive_upstream(message, self.now)
+        dialled = of_type(messages.Dial, lagging.tick(self.now))[0].publisher
+        outputs = self.catch_up(lagging, dialled)
         self.assertEqual((lagging.contents, lagging.epochs.may_vote, lagging.number), (Contents.COMPLETE, True, 3))
         self.assertEqual(
             (lagging.watch is not None and lagging.watch.state, len(of_type(messages.ClosePublisherLink, outputs))),
--- a/tests/test_epochs.py
+++ b/tests/test_epochs.py
@@ -24,6 +24,8 @@
     CheckReply,
     Heartbeat,
     Log,
+    Prepare,
+    Pull,
     RejoinReply,
     Send,
 )
@@ -290,6 +292,49 @@
         self.assertIn(ApplyChange(winner), out)
         self.assertEqual((node.outcomes[ident].state, "n2-1-1" in node.outcomes[ident].reason), ("lost", True))
 
+    def deciding_proposal(self) -> str:
+        """A proposal of this node for epoch 1 on which the others are voting."""
+        for sender in ("n2", "n3"):
+            self.heartbeat(TICK_US, sender=sender)
+        self.node.tick(TICK_US)
+        ident, _ = self.node.propose(b"{}", 0, TICK_US)
+        for sender in ("n2", "n3"):
+            self.node.receive(sender, 1, CheckReply(ident, ""), TICK_US)
+        self.assertEqual(self.node.outcomes[ident].state, "deciding")
+        return ident
+
+    def receive_log(self, first: Change, known: int) -> None:
+        """A log of 22 decisions, of which the last ``known`` are listed."""
+        decided = (first, *(make_change(number, f"n2-1-{number}") for number in range(2, 23)))
+        recent = tuple(change.without_settings() for change in decided[22 - known :])
+        self.node.receive("n2", 1, Log(22, decided[-1], recent), TICK_US)
+
+    def test_only_the_decision_on_its_own_number_tells_what_became_of_a_proposal(self) -> None:
+        """A change in force was told as lost, since 16 later decisions stood in the log before it."""
+        for own, known, expected in ((True, 22, "committed"), (False, 22, "lost"), (True, 16, "unknown")):
+            with self.subTest(own=own, known=known):
+                self.setUp()
+                ident = self.deciding_proposal()
+                self.receive_log(make_change(1, ident if own else "n3-1-1"), known)
+                self.assertEqual((self.node.outcomes[ident].state, self.node.proposal), (expected, None))
+
+    def test_a_proposal_without_a_ballot_is_lost_whatever_the_log_lacks(self) -> None:
+        for sender in ("n2", "n3"):
+            self.heartbeat(TICK_US, sender=sender)
+        self.node.tick(TICK_US)
+        ident, _ = self.node.propose(b"{}", 0, TICK_US)
+        self.receive_log(make_change(1), 16)
+        self.assertEqual(self.node.outcomes[ident].state, "lost")
+
+    def test_a_log_has_every_decision_that_its_receiver_lacks(self) -> None:
+        self.receive_log(make_change(1), 22)
+        [pulled] = [item.message for item in self.node.receive("n2", 1, Pull(3), TICK_US) if isinstance(item, Send)]
+        answered = self.node.receive("n2", 1, Prepare(2, (0, "n2", 1)), TICK_US)
+        [late_ballot] = [item.message for item in answered if isinstance(item, Send)]
+        for log, first in ((pulled, 4), (late_ballot, 2)):
+            assert isinstance(log, Log)
+            self.assertEqual([change.number for change in log.recent_changes], list(range(first, 23)))
+
     def test_restarted_node_votes_after_learning_its_former_votes(self) -> None:
         node = self.node = self.make_member(2, fresh=False)
         out = node.tick(TICK_US)
