Show the decisions in lemonway control history, which ended with a traceback

Cause: it read fields that the voter's history does not have. It also showed 8 of the 64 decisions that a voter keeps.

Evidence: tried by hand; test_3_status_history_and_metrics_show_the_version fails on the text before with its new lines.

Change: one line a decision, with the proposal's id and, of an abort, the reason. Measured: test_control_live.py passes.

--- a/lemonway/kit/cli/control.py
+++ b/lemonway/kit/cli/control.py
@@ -14,7 +14,7 @@
 from ..policy import UNKNOWN, CallError
 from .common import AS_JSON, ExitStatus, fail
 
-VERSIONS_SHOWN = 8
+DECISIONS_SHOWN = 64  # as many as a voter keeps with the names of their proposals
 
 MACHINE = click.option(
     "--machine",
@@ -115,7 +115,7 @@
 @MACHINE
 @AS_JSON
 def control_history(machine: str, json_: bool) -> None:
-    """The last versions that a voter holds."""
+    """The last decisions that a voter knows, with their proposals."""
     try:
         found = operators.ask(machine, "/control/history")
     except CallError as error:
@@ -123,11 +123,9 @@
     if json_:
         click.echo(report.to_json(found), nl=False)
         return
-    for version in found["history"][-VERSIONS_SHOWN:]:
-        click.echo(
-            f"version {version['number']} after {version['parent']}, by {version['by']}: "
-            f"{len(version['operations'])} operations"
-        )
+    for decision in found["history"][-DECISIONS_SHOWN:]:
+        what = f"{decision['operations']} operations" if decision["committed"] else f"aborted: {decision['reason']}"
+        click.echo(f"version {decision['number']}, {decision['ident'] or '-'}, by {decision['by']}: {what}")
 
 
 @control.command("abort")
--- a/tests/test_control_live.py
+++ b/tests/test_control_live.py
@@ -293,6 +293,10 @@
         self.assertIn(f"version {number}", group.run_cli("status", "--machine", admin_address).stdout)
         history = json.loads(group.run_cli("history", "--machine", admin_address, "--json").stdout)["history"]
         self.assertEqual(history[-1]["number"], number)
+        # The operators' page sends there whoever must know what became of a proposal.
+        lines = group.run_cli("history", "--machine", admin_address).stdout.splitlines()
+        self.assertEqual(lines[-1], f"version {number}, {history[-1]['ident']}, by v3: 1 operations")
+        self.assertEqual(len(lines), len(history))
         with urllib.request.urlopen(f"http://127.0.0.1:{group['n1'].admin}/metrics") as reply:
             metrics = reply.read().decode()
         self.assertIn(f"edge_edge_control_version {number}\n", metrics)
