Give a connection on the peers' port 2 s and 4 KiB to say whose it is

Peers (replication, the fleet's policy, voters): connections that send nothing, or the beginning of a long message, held every place of the port for good, and a peer that connected then was closed at once.

Cause: no time by which the first message is due, and 256 KiB a message allowed before its sender is known.

Evidence: the new test in test_replication_wire.py fails on the text before: no peer is connected within 10 s.

Change: HELLO_TIMEOUT_US and MAX_HELLO_BYTES in net/protocol/peers.py; the larger bound holds once the sender is known. Measured: test_replication_wire.py passes.

--- a/lemonway/net/protocol/peers.py
+++ b/lemonway/net/protocol/peers.py
@@ -29,6 +29,8 @@
 log = logging.getLogger(__name__)
 
 MAX_MESSAGE_BYTES = 256 * 1024
+MAX_HELLO_BYTES = 4 * 1024  # of the first message on a link, whose sender is not known yet
+HELLO_TIMEOUT_US = 2_000_000  # from the connect to the first message; a peer sends it at once
 MIN_RECONNECT_DELAY_S, MAX_RECONNECT_DELAY_S = 0.05, 1.0  # exponential backoff, doubling
 
 Receive = Callable[[str, int, Any, int], None]  # sender, its incarnation, message, its epoch of the list of peers
@@ -46,13 +48,21 @@
 
     def __init__(self, mesh: Mesh) -> None:
         super().__init__(mesh.event_loop, MAX_MESSAGE_BYTES, 1024)
+        self.max_message_bytes = MAX_HELLO_BYTES
         self.mesh = mesh
         self.peer, self.incarnation, self.epoch = "", 0, 0
 
     def on_connected(self) -> None:
         self.mesh.accepted[self] = None
+        self.event_loop.call_after(HELLO_TIMEOUT_US, self.check_hello)
         super().on_connected()
 
+    def check_hello(self) -> None:
+        """Reset a connection that has not said whose it is: it would take a peer's place, and memory."""
+        if not (self.peer or self.closing or self.lost):
+            self.mesh.count("silent")
+            self.abort()
+
     def on_disconnected(self) -> None:
         self.mesh.accepted.pop(self, None)
 
@@ -89,6 +99,7 @@
             self.close()
             return
         self.peer, self.incarnation, self.epoch = hello.name, hello.incarnation, hello.epoch
+        self.max_message_bytes = MAX_MESSAGE_BYTES
 
     def frame_rejected(self) -> None:
         self.mesh.count("spoilt")
--- a/tests/test_replication_wire.py
+++ b/tests/test_replication_wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import struct
 import subprocess
 import sys
@@ -18,7 +19,7 @@
 from lemonway.kit.stage import Stage
 from lemonway.net.program.config import ConfigError
 from lemonway.net.program.replication import Replication, load_replication, replica_terms, schema
-from lemonway.net.protocol.peers import MAX_MESSAGE_BYTES, Mesh, peers_hash
+from lemonway.net.protocol.peers import MAX_HELLO_BYTES, MAX_MESSAGE_BYTES, Mesh, peers_hash
 from lemonway.net.transport.clock import Clock, EventLoop
 from lemonway.replication.messages import VERSION, Fetch, Heartbeat, Hello, Message, encode
 
@@ -115,6 +116,28 @@
         self.spin(lambda: bool(self.received))
         self.assertEqual(self.received, [("a", 1, HEARTBEAT)])
 
+    def test_connections_that_do_not_say_whose_they_are_leave_the_peers_their_place(self) -> None:
+        """Strangers held every place for good, each with up to 256 KiB of a message that never ended."""
+        b = self.mesh("b", {"a": ("127.0.0.1", 1), "b": ("127.0.0.1", 1)})
+        port = self.listen(b)
+        strangers = [socket.create_connection(("127.0.0.1", port)) for _ in range(2 * len(b.addresses) + 8)]
+        for number, stranger in enumerate(strangers):
+            self.addCleanup(stranger.close)
+            stranger.sendall(struct.pack(">I", MAX_HELLO_BYTES) + b"x" * 100 if number % 2 else b"\0")
+        oversized = socket.create_connection(("127.0.0.1", port))
+        self.addCleanup(oversized.close)
+        self.spin(lambda: b.counters["repl_connections_over"] == 1)
+        a = self.mesh("a", {"a": ("127.0.0.1", 1), "b": ("127.0.0.1", port)})
+        a.links["b"].dial()
+        self.spin(lambda: b.counters["repl_silent"] == len(strangers))
+        self.spin(lambda: len(b.accepted) == 1 and a.links["b"].connection is not None)
+        a.send("b", HEARTBEAT)
+        self.spin(lambda: self.received == [("a", 7, HEARTBEAT)])
+        late = socket.create_connection(("127.0.0.1", port))
+        self.addCleanup(late.close)
+        late.sendall(struct.pack(">I", MAX_HELLO_BYTES + 1))
+        self.spin(lambda: b.counters["repl_spoilt"] == 1)
+
     def test_a_peer_that_does_not_read_is_disconnected_at_the_queue_bound(self) -> None:
         b = self.mesh("b", {"a": ("127.0.0.1", 1), "b": ("127.0.0.1", 1)})
         port = self.listen(b)
