Keep only the uwsgi variables that are read, so slow clients can't fill the memory

A check with 384 uwsgi clients that stop half way through a body after a head of very many short variables, beside 300 routers and 24 admin clients, took a process with a limit of 64 MB to 130.8 MB, where it is killed.

Cause: a connection kept all variables of its head, at some fifteen times their size on the wire, and no bound covers them.

Evidence: tests/test_slow_clients.py fails on the text before (130.8 MB). Trials with one kind of client each ruled out routers that stop half way (40 MB) and clients that never read (40 MB).

Change: parse_vars keeps the nine variables that the front reads; the form of all is still checked.

--- a/lemonway/net/protocol/uwsgi.py
+++ b/lemonway/net/protocol/uwsgi.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import secrets
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,6 +21,21 @@
 OUTBOUND_BUFFER_BYTES = 128 * 1024
 PING_MODIFIER1, PONG_MODIFIER2 = 100, 1  # of a health check and of its answer
 MAX_IDEMPOTENCY_KEY_CHARS = 256
+# The variables that this frontend reads. A client may send thousands of others, which would take many times their size
+# on the wire if each connection kept them until its answer.
+USED_VARIABLES = frozenset(
+    (
+        "REQUEST_METHOD",
+        "PATH_INFO",
+        "REQUEST_URI",
+        "QUERY_STRING",
+        "HTTP_HOST",
+        "SERVER_NAME",
+        "CONTENT_LENGTH",
+        "HTTP_TRANSFER_ENCODING",
+        "HTTP_IDEMPOTENCY_KEY",
+    )
+)
 
 REASON_PHRASES = {
     200: b"OK",
@@ -90,8 +105,9 @@
     return header[0], int.from_bytes(header[1:3], "little"), header[3]
 
 
-def parse_vars(block: bytes) -> dict[str, str]:
-    """The variables of a packet: names and values, each behind its size in two little-endian bytes."""
+def parse_vars(block: bytes, used: Container[str] | None = None) -> dict[str, str]:
+    """The variables of a packet: names and values, each behind its size in two little-endian bytes. ``used``: the names
+    to return (default: all)."""
     parsed: dict[str, str] = {}
     offset, end = 0, len(block)
     text = block.decode("latin-1")  # decoded once: latin-1 maps each byte to one character, so offsets hold in both
@@ -106,7 +122,9 @@
         if name is None:
             name = text[start:offset]
         elif name:
-            parsed[name], name = text[start:offset], None
+            if used is None or name in used:
+                parsed[name] = text[start:offset]
+            name = None
         else:
             raise UwsgiError("variable has an empty name")
     if name is not None:
@@ -212,7 +230,7 @@
 
     def take_vars(self, block: bytes) -> None:
         try:
-            variables = self.variables = parse_vars(block)
+            variables = self.variables = parse_vars(block, USED_VARIABLES)
             size = body_length(variables, self.server.site.max_body_bytes)
             path = variables.get("PATH_INFO") or variables.get("REQUEST_URI", "").partition("?")[0]
             if not path.startswith("/") or not variables.get("REQUEST_METHOD"):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from lemonway.interface import Outcome
@@ -287,7 +288,7 @@
         """Connections handle only the parser's own error; any other would end as a traceback in the reactor's log."""
         draw = random.Random(7)
         frame = resp.encode(b"CALL", b"7", b"busca", b"txn=9b1f03aa5c7e2d41,door=1764576000123", b"body")
-        seeds = [
+        seeds: list[tuple[bytes, Callable[[bytes], object], type[Exception]]] = [
             (frame, read_stream, resp.RespError),
             (b"finished 4 9b1f good 12.5 96", pool.parse_notice, pool.PoolError),
             (b"polled t 0.5 3 0.1 8", pool.parse_notice, pool.PoolError),
