--- a/lemonway/net/program/node.py
+++ b/lemonway/net/program/node.py
@@ -16,8 +16,6 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import CannotListenError
-from twisted.internet.interfaces import IReactorFDSet
-from twisted.internet.protocol import ServerFactory
 
 from ...interface import Settings
 from ...limits.ramp import Ramp
@@ -30,10 +28,11 @@
 from ..transport.clock import Clock, EventLoop
 from ..transport.connection import Connection
 from ..transport.port import LimitedPort
-from .bounds import Bounds, bounds_of, descriptor_limit
-from .config import Address, Config, ConfigError, load_config
+from .bounds import bounds_of, descriptor_limit
+from .config import Config, ConfigError, load_config
 from .node_settings import NodeSettings, cold_tier, load_node_settings
 from .reload import merge_reloaded
+from .router_factory import RouterFactory, open_router_port
 from .signal_mask import BLOCKED_SIGNALS
 from .upgrade import ProcessMarker
 
@@ -46,7 +45,6 @@
 
 log = logging.getLogger(__name__)
 
-LISTEN_BACKLOG = 512  # connections that wait to be accepted
 MAX_ADMIN_CONNECTIONS = 32  # connections of the admin address (``protocol.admin.MAX_CONNECTIONS``)
 SWEEP_INTERVAL_US = 500_000  # between sweeps of idle connections
 DRAIN_CHECK_INTERVAL_US = 50_000  # between checks whether a draining node has closed every connection
@@ -62,58 +60,6 @@
         """Report nothing."""
 
 
-class RouterFactory(ServerFactory):
-    """Makes the connections of the routers and sheds idle ones at the connection limit."""
-
-    noisy = False
-
-    def __init__(self, event_loop: EventLoop, core: Core, bounds: Bounds) -> None:
-        self.event_loop, self.core, self.bounds = event_loop, core, bounds
-        self.names = NameLookup.from_settings(core.settings)
-        self.port: LimitedPort | None = None
-
-    def room(self) -> int:
-        """How many more connections may be accepted. Past ``connections``, idle ones are closed to make room for new
-        ones; ``surplus`` covers the time that takes."""
-        return self.bounds.connections + self.bounds.surplus - len(self.core.frontend_connections)
-
-    def buildProtocol(self, addr: Any) -> RouterConnection | None:
-        self.event_loop.begin_iteration()
-        if len(self.core.frontend_connections) >= self.bounds.connections:
-            if self.port is None and self.room() <= 0:  # an inherited socket accepts without this check
-                self.core.counters["connections_over"] += 1
-                return None
-            self.shed()
-        return RouterConnection(self.event_loop, self.core, self.names)
-
-    def shed(self, limit: int = 1) -> bool:
-        """Make room for new connections: clients that send nothing, or half a line, or stay after one request must not
-        keep routers out. Resets those that only wait for the peer's FIN, and starts an orderly close of up to ``limit``
-        idle ones, which takes a moment. Returns whether any was reset, so that there is room at once."""
-        router_connections = [
-            connection for connection in self.core.frontend_connections if isinstance(connection, RouterConnection)
-        ]
-        aborted = [connection for connection in router_connections if connection.awaits_only_peer_close()]
-        for connection in aborted:
-            connection.abort()
-        candidates = sorted(
-            (rank, n) for n, connection in enumerate(router_connections) if (rank := connection.eviction_key())
-        )[:limit]
-        for _, n in candidates:
-            self.core.counters["connections_shed"] += 1
-            router_connections[n].evict()
-        return bool(aborted)
-
-
-def open_router_port(factory: RouterFactory, address: Address, reactor: Any, counters: Any) -> Any:
-    """Open the routers' port. The rehearsal kit's virtual reactor has no descriptors and makes its own port."""
-    if not IReactorFDSet.providedBy(reactor):
-        return reactor.listenTCP(address.port, factory, backlog=LISTEN_BACKLOG, interface=address.host)
-    port = LimitedPort(address.port, factory, LISTEN_BACKLOG, address.host, reactor, counters)
-    port.startListening()
-    return port
-
-
 def exponential_draws(seed: int) -> Callable[[], float]:
     """A function that returns exponentially distributed numbers with mean 1, deterministic for a seed."""
     source = Random(seed)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -37,6 +37,7 @@
     "lemonway.net.program.node",
     "lemonway.net.program.node_settings",
     "lemonway.net.program.reload",
+    "lemonway.net.program.router_factory",
     "lemonway.net.program.start",
     "lemonway.net.program.upgrade",
     "lemonway.net.protocol",
