Give three process tests a whole configuration file

Change: one file for all processes of that module, with every needed key; what the tests assert is unchanged.

--- a/tests/test_resp_rules.py
+++ b/tests/test_resp_rules.py
@@ -487,6 +487,16 @@
         harness.node.core.counters["brain_faults"] = 0
 
 
+NODE_CONFIG: dict[str, Any] = {
+    "name": "n1",
+    "listen": "127.0.0.1:0",
+    "pool": "127.0.0.1:1",
+    "stop_ms": 1000,
+    "limits": LIMITS,
+    "settings": site_settings(),
+}
+
+
 class ProcessTestCase(unittest.TestCase):
     """Starts the node in a subprocess as the platform does, from a configuration file."""
 
@@ -511,15 +521,7 @@
     """The command, run in a subprocess."""
 
     def test_counters_are_logged_and_sigterm_exits_cleanly(self) -> None:
-        config = {
-            "name": "n1",
-            "listen": "127.0.0.1:0",
-            "pool": "127.0.0.1:1",
-            "stop_ms": 1000,
-            "limits": LIMITS,
-            "settings": site_settings(),
-        }
-        process = self.start(config)
+        process = self.start(NODE_CONFIG)
         assert process.stderr is not None
         self.assertIn("listens", process.stderr.readline())
         process.send_signal(signal.SIGUSR1)
@@ -530,7 +532,7 @@
         self.assertRegex(rest, r"counters .*open=0")
 
     def test_an_invalid_configuration_logs_one_line_and_exits_with_2(self) -> None:
-        process = self.start({"name": "n1", "listen": "nowhere", "pool": "127.0.0.1:1", "settings": {}})
+        process = self.start(NODE_CONFIG | {"listen": "nowhere", "settings": {}})
         _, text = process.communicate(timeout=10)
         self.assertEqual((process.returncode, text.count("\n")), (2, 1))
         self.assertTrue(re.match(r"lemonway: EDGE_CONFIG: \S+\.json: listen: 'nowhere'", text), text)
@@ -538,7 +540,7 @@
     def test_an_address_in_use_logs_one_line_and_exits_with_2(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as taken:
             listen = f"127.0.0.1:{taken.getsockname()[1]}"
-            process = self.start({"name": "n1", "listen": listen, "pool": "127.0.0.1:1", "settings": site_settings()})
+            process = self.start(NODE_CONFIG | {"listen": listen})
             _, text = process.communicate(timeout=10)
         self.assertEqual((process.returncode, text.count("\n")), (2, 1))
         self.assertTrue(text.startswith(f"lemonway: listen: {listen}"), text)
@@ -550,8 +552,7 @@
     def test_the_node_is_one_process_with_one_thread_and_no_child(self) -> None:
         deploy = (Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text()
         self.assertRegex(deploy, r'(?m)^run = "exec [^";&|]+"$')
-        config = {"name": "n1", "listen": "127.0.0.1:0", "pool": "127.0.0.1:1", "settings": site_settings()}
-        process = self.start(config)
+        process = self.start(NODE_CONFIG)
         assert process.stderr is not None
         line = process.stderr.readline()
         port = int(re.search(r"listens on 127\.0\.0\.1:(\d+)", line).group(1))  # type: ignore[union-attr]
