--- a/lemonway/net/protocol/resp.py
+++ b/lemonway/net/protocol/resp.py
@@ -391,12 +391,7 @@
             self.event_loop.call_after(CLOSE_DELAY_US, self.close_if_done)
 
     def dataReceived(self, data: bytes) -> None:
-        if len(data) >= MAX_READ_BYTES and self._peer_has_reset():
-            # More is unread, and its sender has left: nobody waits for requests that would be read from now on.
-            self.event_loop.begin_iteration()
-            self.handler.counters["unread_gone"] += 1
-            self.abort()
-        elif self.discards_input or self.reader.items_left or self._discard_remaining or not self.line_mode:
+        if self.discards_input or self.reader.items_left or self._discard_remaining or not self.line_mode:
             self._needed_bytes = 0
             super().dataReceived(data)  # RespReader is in the middle of a frame
         else:
@@ -420,6 +415,11 @@
                 return
             data = ring.peek(buffered + len(data))
         needed_length = len(data) + 1
+        if needed_length > MAX_READ_BYTES and self._peer_has_reset():
+            # More is unread, and its sender has left: nobody waits for requests that would be read from now on.
+            self.handler.counters["unread_gone"] += 1
+            self.abort()
+            return
         while offset < len(data) and not self.discards_input:
             frame, needed_length = parse_whole_frame(data, offset)
             if frame is None:
